--- /dev/null
+++ b/dunlinnotch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/dunlinnotch/cli/__main__.py
@@ -0,0 +1,46 @@
+"""The operators' tool: ``dunlinnotch``."""
+
+from __future__ import annotations
+
+import sys
+
+from cleo.application import Application
+
+from dunlinnotch.cli import moves, settings
+
+COMMANDS = (
+    settings.SettingsShow,
+    settings.SettingsGet,
+    settings.SettingsSet,
+    settings.SettingsUnset,
+    settings.SettingsExport,
+    settings.SettingsImport,
+    settings.SettingsHistory,
+    settings.Explain,
+    moves.BoxList,
+    moves.BoxDrain,
+    moves.BoxResume,
+    moves.PlaceStop,
+    moves.PlaceStart,
+    moves.TargetDrain,
+    moves.TargetResume,
+    moves.ShowStatus,
+    moves.CheckFile,
+)
+
+
+def application() -> Application:
+    """Return the tool with all its commands."""
+    tool = Application("dunlinnotch", "0.1.0")
+    for command in COMMANDS:
+        tool.add(command())
+    return tool
+
+
+def main() -> int:
+    """Run the tool; return its exit status."""
+    return int(application().run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dunlinnotch/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Every decision: choice, limits, retries, steering, membership, settings."""
--- /dev/null
+++ b/dunlinnotch/coordination/directory.py
@@ -0,0 +1,112 @@
+"""The pools of all services on this box, kept in step with settings and boxes."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dunlinnotch.coordination.choice import place_shares
+from dunlinnotch.coordination.pool import ServicePool
+from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.state.schema import RunState
+from dunlinnotch.state.targets import TargetRecord
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from dunlinnotch.state.boxes import BoxRow
+    from dunlinnotch.state.tree import SettingsTree
+    from dunlinnotch.types import Clock
+
+
+@dataclass(slots=True)
+class _ServicePlan:
+    """What one service's pool should hold."""
+
+    weights: dict[str, float] = field(default_factory=dict)
+    targets: list[TargetRecord] = field(default_factory=list)
+
+
+class PoolDirectory:
+    """Build and find the pools of services.
+
+    Parameters
+    ----------
+    box, place : str
+        This box.
+    clock : callable
+    rng : random.Random
+    """
+
+    def __init__(self, *, box: str, place: str, clock: Clock, rng: random.Random) -> None:
+        self._box = box
+        self._place = place
+        self._clock = clock
+        self._rng = rng
+        self._pools: dict[str, ServicePool] = {}
+        self._lock = threading.Lock()
+
+    def pool(self, service: str) -> ServicePool | None:
+        """Return the pool, or None if the service has no targets anywhere."""
+        return self._pools.get(service)
+
+    def pools(self) -> list[ServicePool]:
+        """Return all pools."""
+        return list(self._pools.values())
+
+    def rebuild(self, tree: SettingsTree, boxes: Sequence[BoxRow]) -> None:
+        """Put a settings tree and the boxes now known in force.
+
+        Parameters
+        ----------
+        tree : SettingsTree
+        boxes : sequence of BoxRow
+            Boxes that may serve, this one included.
+        """
+        with self._lock:
+            plans: dict[str, _ServicePlan] = {}
+            for place, service in tree.service_paths():
+                plan = plans.setdefault(service, _ServicePlan())
+                self._plan_place(plan, tree, place, service, boxes)
+            demand = _demand(boxes)
+            pools = dict(self._pools)
+            for service, plan in plans.items():
+                pool = pools.get(service)
+                if pool is None:
+                    pool = pools[service] = ServicePool(service, clock=self._clock, rng=self._rng)
+                pool.configure(
+                    plan.targets,
+                    shares=place_shares(self._place, weights=plan.weights, demand=demand),
+                    settings=tree.effective(f"{self._place}/{service}"),
+                )
+            self._pools = {service: pools[service] for service in plans}
+
+    def _plan_place(
+        self,
+        plan: _ServicePlan,
+        tree: SettingsTree,
+        place: str,
+        service: str,
+        boxes: Sequence[BoxRow],
+    ) -> None:
+        settings = tree.effective(f"{place}/{service}")
+        running = [a for a in settings.targets if tree.target_state(a) is RunState.RUNNING]
+        place_runs = tree.place_state(place) is RunState.RUNNING
+        if not running or not place_runs or settings.state is not RunState.RUNNING:
+            return
+        plan.weights[place] = settings.weight
+        group = [row.name for row in boxes if row.place == self._place]
+        subsets = assign_subsets(group, running, settings.subset)
+        for address in sorted(subsets[self._box]):
+            sharers = sum(address in subset for subset in subsets.values())
+            plan.targets.append(TargetRecord(address, place, settings.slots, float(sharers)))
+
+
+def _demand(boxes: Sequence[BoxRow]) -> dict[str, float]:
+    """Return the calls in flight at the boxes of each place, one more for each box."""
+    demand: dict[str, float] = {}
+    for row in boxes:
+        demand[row.place] = demand.get(row.place, 0.0) + row.in_flight + 1.0
+    return demand
--- /dev/null
+++ b/dunlinnotch/coordination/gate.py
@@ -0,0 +1,83 @@
+"""Whether this box takes new work: settings known, in contact, not drained."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from dunlinnotch.protocol.outcome import CallResult, Outcome, Reason
+from dunlinnotch.state.schema import RunState
+
+if TYPE_CHECKING:
+    from dunlinnotch.coordination.membership import Membership
+    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.types import Clock, Seconds
+
+#: When a caller refused by this box may come back to it.
+_RETRY_AFTER_S = 1.0
+_UNAVAILABLE = 503
+
+
+class WorkGate:
+    """Decide whether a new call may be accepted, and count calls in flight.
+
+    Parameters
+    ----------
+    membership : Membership
+    holder : SettingsHolder
+    clock : callable
+    """
+
+    def __init__(self, membership: Membership, holder: SettingsHolder, *, clock: Clock) -> None:
+        self._membership = membership
+        self._holder = holder
+        self._clock = clock
+        self._count = threading.Condition()
+        self._in_flight = 0
+        self.closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Calls accepted and not ended."""
+        return self._in_flight
+
+    def enter(self) -> CallResult | None:
+        """Count a call in, or return why it is refused as not run."""
+        with self._count:
+            refusal = self.refusal()
+            if refusal is None:
+                self._in_flight += 1
+            return refusal
+
+    def leave(self) -> None:
+        """Count a call out."""
+        with self._count:
+            self._in_flight -= 1
+            self._count.notify_all()
+
+    def close_if_idle(self) -> bool:
+        """Take no more work if no call is in flight; return whether that is so."""
+        with self._count:
+            self.closed = self.closed or self._in_flight == 0
+            return self.closed
+
+    def wait_idle(self, timeout: Seconds) -> bool:
+        """Wait until no call is in flight; return whether that is so."""
+        with self._count:
+            return self._count.wait_for(lambda: self._in_flight == 0, timeout)
+
+    def refusal(self) -> CallResult | None:
+        """Return why new work is refused now, or None."""
+        if self.closed or self._membership.own.state is RunState.STOPPED:
+            return _refused(Reason.BOX_DRAINED, "this box has been drained")
+        if self._holder.version == 0:
+            return _refused(Reason.NO_SETTINGS, "no settings are known yet")
+        cut_off = self._holder.tree.effective(self._membership.own.place).cut_off_s
+        contact = self._membership.last_contact()
+        if contact is None or self._clock() - contact > cut_off:
+            return _refused(Reason.CUT_OFF, f"neither table nor peer heard for {cut_off} s")
+        return None
+
+
+def _refused(reason: Reason, detail: str) -> CallResult:
+    return CallResult(Outcome.NOT_RUN, _UNAVAILABLE, reason, detail, _RETRY_AFTER_S)
--- /dev/null
+++ b/dunlinnotch/coordination/membership.py
@@ -0,0 +1,270 @@
+"""Which boxes there are, what they say of themselves, and whom to link to.
+
+Rows spread along a bounded number of links as deltas.  Each row is written
+by the box that it describes; the larger (incarnation, sequence) wins, so a
+box that restarted, or woke up, never speaks for its older self.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+from dunlinnotch.coordination.subset import highest
+from dunlinnotch.protocol.peers import LinkState, Sync
+from dunlinnotch.state.schema import RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.protocol.platform import ListedBox
+    from dunlinnotch.state.boxes import BoxRow
+    from dunlinnotch.types import Address, Clock, Seconds, Version
+
+#: Edits sent in one turn of a link; more than these go as a whole tree.
+_EDITS_A_TURN = 64
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Known:
+    """A row with the local time at which it was heard."""
+
+    row: BoxRow
+    heard_at: Seconds
+
+
+class Membership:
+    """Rows of all boxes as this one knows them.
+
+    Parameters
+    ----------
+    own : BoxRow
+        This box's first row.
+    holder : SettingsHolder
+    clock : callable
+    suspect_s : float, default 2.0
+        Seconds without a newer row after which a box is no longer offered to
+        callers.
+    forget_s : float, default 30.0
+        Seconds after which the row of a box that is not listed is dropped.
+
+    Notes
+    -----
+    Thread-safe.
+    """
+
+    def __init__(
+        self,
+        own: BoxRow,
+        *,
+        holder: SettingsHolder,
+        clock: Clock,
+        suspect_s: Seconds = 2.0,
+        forget_s: Seconds = 30.0,
+    ) -> None:
+        self._own = own
+        self._holder = holder
+        self._clock = clock
+        self.suspect_s = suspect_s
+        self._forget_s = forget_s
+        self._known: dict[str, _Known] = {}
+        self._listed: dict[str, ListedBox] = {}
+        self._changed = threading.Condition(threading.RLock())
+        self._peer_heard_at: Seconds | None = None
+        self._table_read_at: Seconds | None = None
+
+    @property
+    def own(self) -> BoxRow:
+        """The newest row of this box."""
+        return self._own
+
+    def refresh_own(self, *, in_flight: int | None = None, state: RunState | None = None) -> BoxRow:
+        """Make and return a newer row of this box.
+
+        Parameters
+        ----------
+        in_flight : int, optional
+        state : RunState, optional
+        """
+        with self._changed:
+            row = self._own
+            self._own = replace(
+                row,
+                seq=row.seq + 1,
+                version=self._holder.version,
+                in_flight=row.in_flight if in_flight is None else in_flight,
+                state=state or row.state,
+                tick=self._clock(),
+            )
+            self._changed.notify_all()
+            return self._own
+
+    def turn(self, link: LinkState) -> Sync:
+        """Return what the peer on ``link`` may not know yet."""
+        with self._changed:
+            rows = tuple(r for r in self._all_rows() if r.age_key > link.rows.get(r.name, (0, 0)))
+            link.rows.update({row.name: row.age_key for row in rows})
+            tree = self._holder.tree
+            edits = tree.edits_after(link.version)
+            whole = edits is None or len(edits) > _EDITS_A_TURN
+            return Sync(
+                sender=self._own.name,
+                incarnation=self._own.incarnation,
+                version=tree.version,
+                table_age=self.table_age(),
+                rows=rows,
+                edits=() if whole or edits is None else edits,
+                tree=tree if whole else None,
+            )
+
+    def take(self, sync: Sync, link: LinkState) -> None:
+        """Take in what a peer sent."""
+        link.version = sync.version
+        if sync.tree is not None:
+            self._holder.replace(sync.tree)
+        self._holder.advance(sync.edits)
+        with self._changed:
+            now = self._clock()
+            self._peer_heard_at = now
+            for row in sync.rows:
+                link.rows[row.name] = max(row.age_key, link.rows.get(row.name, (0, 0)))
+                self._take_row(row, now)
+            self._changed.notify_all()
+
+    def take_list(self, boxes: Iterable[ListedBox]) -> None:
+        """Take in the platform's list of boxes, which lags."""
+        with self._changed:
+            self._listed = {box.name: box for box in boxes}
+            self._forget()
+
+    def table_read(self, at: Seconds) -> None:
+        """Note that the table answered a question asked at ``at``."""
+        with self._changed:
+            self._table_read_at = at
+
+    def last_contact(self) -> Seconds | None:
+        """Return when the table or a peer was last heard, or None if never."""
+        heard = [t for t in (self._table_read_at, self._peer_heard_at) if t is not None]
+        return max(heard, default=None)
+
+    def rows(self) -> list[BoxRow]:
+        """Return the newest row of each known box, this one first."""
+        with self._changed:
+            return self._all_rows()
+
+    def live(self) -> list[BoxRow]:
+        """Return rows of boxes that are up and may serve, draining ones included."""
+        with self._changed:
+            now = self._clock()
+            heard = [k.row for k in self._known.values() if now - k.heard_at <= self.suspect_s]
+            return [row for row in (self._own, *heard) if row.state is not RunState.STOPPED]
+
+    def missing(self, version: Version) -> tuple[str, ...]:
+        """Return the boxes that may serve and have not confirmed ``version``.
+
+        Notes
+        -----
+        A box counts until it confirms, says that it has stopped, or is both
+        silent for ``forget_s`` and gone from the platform's list.  So a box
+        that can't be heard makes an edit wait rather than be called accepted.
+        """
+        with self._changed:
+            self._forget()
+            behind = {
+                row.name
+                for row in self._all_rows()
+                if row.version < version and row.state is not RunState.STOPPED
+            }
+            known = {row.name for row in self._all_rows()}
+            unheard = {box.name for box in self._listed.values() if not box.leaving} - known
+            return tuple(sorted(behind | unheard))
+
+    def wait_confirmed(self, version: Version, timeout: Seconds) -> bool:
+        """Wait until no box is :meth:`missing` the version."""
+        with self._changed:
+            return self._changed.wait_for(lambda: not self.missing(version), timeout)
+
+    def links(self, count: int, seeds: Iterable[Address]) -> dict[str, Address]:
+        """Return the peers to connect to, by name (an address for a seed).
+
+        Parameters
+        ----------
+        count : int
+            Most links that this box opens.
+        seeds : iterable of str
+            Addresses used while too few peers are known.
+
+        Returns
+        -------
+        dict of str to str
+            The next live box by name, which keeps the graph in one piece,
+            then one in another place, then those with the highest rendezvous
+            weight.
+        """
+        with self._changed:
+            others = {row.name: row for row in self.live() if row.name != self._own.name}
+            listed = {b.name: b.peer for b in self._listed.values() if b.name != self._own.name}
+        addresses = {**listed, **{name: row.peer for name, row in others.items()}}
+        if not addresses:
+            return {seed: seed for seed in seeds if seed != self._own.peer}
+        chosen = [self._next_name(sorted(addresses))]
+        away = [name for name, row in others.items() if row.place != self._own.place]
+        chosen += highest(self._own.name, away, 1)
+        chosen += highest(self._own.name, addresses, count)
+        names = list(dict.fromkeys(chosen))[:count]
+        return {name: addresses[name] for name in names}
+
+    def _next_name(self, names: list[str]) -> str:
+        return next((name for name in names if name > self._own.name), names[0])
+
+    def _all_rows(self) -> list[BoxRow]:
+        return [self._own, *(known.row for known in self._known.values())]
+
+    def _take_row(self, row: BoxRow, now: Seconds) -> None:
+        if row.name == self._own.name:
+            self._meet_namesake(row)
+            return
+        known = self._known.get(row.name)
+        if known is not None and row.age_key <= known.row.age_key:
+            return
+        if (
+            known is None
+            or known.row.state is not row.state
+            or known.row.incarnation != row.incarnation
+        ):
+            event(
+                _log,
+                "box-row",
+                box=row.name,
+                state=row.state,
+                incarnation=row.incarnation,
+                place=row.place,
+            )
+        self._known[row.name] = _Known(row, now)
+
+    def _meet_namesake(self, row: BoxRow) -> None:
+        """Note a newer process of the same name; the older one must stop serving."""
+        if row.incarnation > self._own.incarnation and self._own.state is not RunState.STOPPED:
+            event(_log, "replaced", level=logging.WARNING, incarnation=row.incarnation)
+            self._own = replace(self._own, state=RunState.STOPPED)
+
+    def _forget(self) -> None:
+        now = self._clock()
+        gone = [
+            name
+            for name, known in self._known.items()
+            if now - known.heard_at > self._forget_s and name not in self._listed
+        ]
+        for name in gone:
+            event(_log, "box-forgotten", box=name)
+            del self._known[name]
+
+    def table_age(self) -> Seconds | None:
+        """Return the seconds since this box last read the table, or None if it never did."""
+        return None if self._table_read_at is None else self._clock() - self._table_read_at
--- /dev/null
+++ b/dunlinnotch/coordination/router.py
@@ -0,0 +1,390 @@
+"""Take one call from its acceptance to its end.
+
+The path is written straight down, once for each call's own thread: check,
+wait for a target, send, retry where that is safe, relay the answer.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Protocol
+
+from dunlinnotch._logs import event
+from dunlinnotch.coordination.limits import Ticket, TicketState
+from dunlinnotch.protocol.attempt import (
+    Answered,
+    BodyCutError,
+    Broken,
+    CallerGoneError,
+    NotSent,
+    Refused,
+)
+from dunlinnotch.protocol.outcome import CallResult, Outcome, Reason
+
+if TYPE_CHECKING:
+    from dunlinnotch.coordination.choice import Choice
+    from dunlinnotch.coordination.gate import WorkGate
+    from dunlinnotch.coordination.once import OnceGuard
+    from dunlinnotch.coordination.pool import ServicePool
+    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.protocol.attempt import (
+        AttemptResult,
+        CallerWatch,
+        ReplySink,
+        RequestBody,
+        TargetTransport,
+    )
+    from dunlinnotch.protocol.http import Call
+    from dunlinnotch.state.schema import Settings
+    from dunlinnotch.types import Address, Clock, Seconds
+
+#: Answers up to this size are read whole before their head goes out, in bytes.
+_READ_FIRST = 64 * 1024
+_SERVER_ERROR = 500
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_BAD_REQUEST = 400
+#: When to come back if nothing better is known, in seconds.
+_RETRY_AFTER_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class PoolDirectory(Protocol):
+    """Finds the pool of a service."""
+
+    def pool(self, service: str) -> ServicePool | None:
+        """Return the pool, or None if the service has no targets anywhere."""
+
+
+class CallObserver(Protocol):
+    """Is told of the end of each attempt and call, for metrics."""
+
+    def attempt_ended(self, result: AttemptResult, *, retry: bool) -> None:
+        """Note the end of an attempt."""
+
+    def call_ended(self, call: Call, result: CallResult, *, waited: Seconds) -> None:
+        """Note the end of a call."""
+
+
+class _Ending(Enum):
+    """How an attempt counts for its target."""
+
+    WELL = auto()
+    FAILED = auto()
+    DECLINED = auto()
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has happened to one call so far."""
+
+    tried: list[Address]
+    waited: Seconds = 0.0
+
+
+class Router:
+    """Route calls.
+
+    Parameters
+    ----------
+    box : str
+    place : str
+        The place of this box.
+    holder : SettingsHolder
+    pools : PoolDirectory
+    gate : WorkGate
+    once : OnceGuard
+    transport : TargetTransport
+    observer : CallObserver
+    clock : callable
+    """
+
+    def __init__(
+        self,
+        *,
+        box: str,
+        place: str,
+        holder: SettingsHolder,
+        pools: PoolDirectory,
+        gate: WorkGate,
+        once: OnceGuard,
+        transport: TargetTransport,
+        observer: CallObserver,
+        clock: Clock,
+    ) -> None:
+        self._box = box
+        self._place = place
+        self._holder = holder
+        self._pools = pools
+        self._gate = gate
+        self._once = once
+        self._transport = transport
+        self._observer = observer
+        self._clock = clock
+
+    def route(
+        self, call: Call, body: RequestBody, reply: ReplySink, watch: CallerWatch
+    ) -> CallResult:
+        """Serve one call.
+
+        Parameters
+        ----------
+        call : Call
+        body : RequestBody
+        reply : ReplySink
+            Gets the target's answer, if one comes; refusals are returned.
+        watch : CallerWatch
+            Tells whether the caller has gone.
+
+        Returns
+        -------
+        CallResult
+        """
+        refusal = self._gate.enter()
+        if refusal is not None:
+            return self._ended(call, refusal, _Progress([]))
+        progress = _Progress([])
+        try:
+            result = self._checked(call, body, reply, watch, progress)
+        finally:
+            self._gate.leave()
+        return self._ended(call, result, progress)
+
+    def _checked(
+        self,
+        call: Call,
+        body: RequestBody,
+        reply: ReplySink,
+        watch: CallerWatch,
+        progress: _Progress,
+    ) -> CallResult:
+        pool = self._pools.pool(call.service)
+        if pool is None:
+            return _refused(
+                Reason.SERVICE_UNKNOWN, f"no service {call.service!r} in the settings", 404
+            )
+        tree = self._holder.tree
+        if not tree.has_kind(call.service, call.kind):
+            detail = f"service {call.service!r} has no request kind {call.kind!r}"
+            return _refused(Reason.KIND_UNKNOWN, detail, 404)
+        settings = tree.effective(f"{self._place}/{call.service}/{call.kind}")
+        if settings.repeatable:
+            return self._admitted(call, body, reply, watch, progress, pool, settings)
+        return self._once.run(
+            call,
+            reply,
+            window=settings.once_window_s,
+            route=lambda kept: self._admitted(call, body, kept, watch, progress, pool, settings),
+        )
+
+    def _admitted(
+        self,
+        call: Call,
+        body: RequestBody,
+        reply: ReplySink,
+        watch: CallerWatch,
+        progress: _Progress,
+        pool: ServicePool,
+        settings: Settings,
+    ) -> CallResult:
+        choice = self._wait_for_target(call, progress, pool, settings)
+        if isinstance(choice, CallResult):
+            return choice
+        while True:
+            self._log_choice(call, choice, progress)
+            progress.tried.append(choice.target.address)
+            started = self._clock()
+            result = self._attempt(call, body, watch, choice, settings)
+            if isinstance(result, Answered):
+                ended = self._relay(call, reply, choice, result, pool, started, settings)
+            else:
+                ended = self._not_answered(result, choice, pool, started)
+            self._observer.attempt_ended(result, retry=len(progress.tried) > 1)
+            if not self._may_retry(call, body, ended, settings, progress):
+                return ended
+            again = pool.again(exclude=progress.tried, repeatable=settings.repeatable)
+            if again is None:
+                return ended
+            choice = again
+
+    def _wait_for_target(
+        self, call: Call, progress: _Progress, pool: ServicePool, settings: Settings
+    ) -> Choice | CallResult:
+        if not pool.usable():
+            return _refused(
+                Reason.NO_TARGET, "no target of the service takes new work", _UNAVAILABLE
+            )
+        now = self._clock()
+        if now >= call.deadline:
+            return _refused(Reason.DEADLINE_EXPIRED, "the deadline had passed", _GATEWAY_TIMEOUT)
+        granted = threading.Event()
+        ticket = Ticket(
+            kind=call.kind,
+            rank=settings.rank,
+            share=settings.share,
+            give_up=min(call.deadline, now + settings.queue_ms / 1000),
+            repeatable=settings.repeatable,
+            wake=granted.set,
+        )
+        come_back = pool.enter(ticket)
+        if come_back is None and ticket.state is TicketState.WAITING:
+            granted.wait(max(0.0, ticket.give_up - self._clock()))
+            come_back = pool.give_up(ticket)
+        progress.waited = self._clock() - now
+        if ticket.choice is None:
+            wait = max(come_back or 0.0, _RETRY_AFTER_S)
+            return _refused(Reason.QUEUE_FULL, "all targets are full", _UNAVAILABLE, wait)
+        return ticket.choice
+
+    def _attempt(
+        self,
+        call: Call,
+        body: RequestBody,
+        watch: CallerWatch,
+        choice: Choice,
+        settings: Settings,
+    ) -> AttemptResult:
+        if self._clock() >= call.deadline:
+            return NotSent(Reason.DEADLINE_EXPIRED, "the deadline passed in the queue")
+        if watch.gone():
+            return NotSent(Reason.CALLER_GONE, "the caller left before its request was sent")
+        return self._transport.attempt(
+            call, choice.target.address, body, watch, fresh=not settings.repeatable
+        )
+
+    def _relay(
+        self,
+        call: Call,
+        reply: ReplySink,
+        choice: Choice,
+        answered: Answered,
+        pool: ServicePool,
+        started: Seconds,
+        settings: Settings,
+    ) -> CallResult:
+        """Pass an answer to the caller, to its last byte or not cleanly at all."""
+        pool.heard(choice.target, answered.report)
+        ending = _Ending.FAILED if answered.head.status >= _SERVER_ERROR else _Ending.WELL
+        whole = False
+        begun = False
+        try:
+            chunks = answered.body.chunks()
+            length = answered.head.length
+            if length is not None and length <= _READ_FIRST:
+                chunks = iter([b"".join(chunks)])
+            begun = True
+            reply.begin(answered.head, target=choice.target.address)
+            for chunk in chunks:
+                reply.send(chunk)
+            whole = True
+            reply.finish()
+            return CallResult(Outcome.ANSWERED, answered.head.status, begun=True)
+        except BodyCutError as error:
+            ending = _Ending.FAILED
+            return CallResult(
+                Outcome.UNKNOWN, _BAD_GATEWAY, Reason.TARGET_BROKEN, str(error), begun=begun
+            )
+        except CallerGoneError:
+            outcome = Outcome.ANSWERED if whole else Outcome.UNKNOWN
+            return CallResult(outcome, 0, Reason.CALLER_GONE, "the caller left", begun=True)
+        finally:
+            answered.body.close(whole=whole)
+            self._finish(pool, choice, started, ending)
+
+    def _not_answered(
+        self,
+        result: NotSent | Refused | Broken,
+        choice: Choice,
+        pool: ServicePool,
+        started: Seconds,
+    ) -> CallResult:
+        if isinstance(result, Refused):
+            pool.heard(choice.target, result.report)
+            self._finish(pool, choice, started, _Ending.DECLINED)
+            detail = f"the target refused: {result.mark}"
+            return _refused(Reason.TARGET_REFUSED, detail, _UNAVAILABLE)
+        blameless = result.reason in (Reason.CALLER_GONE, Reason.BODY_BROKEN) or (
+            isinstance(result, NotSent) and result.reason is Reason.DEADLINE_EXPIRED
+        )
+        self._finish(pool, choice, started, _Ending.DECLINED if blameless else _Ending.FAILED)
+        late = result.reason is Reason.DEADLINE_EXPIRED
+        if isinstance(result, Broken):
+            status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
+            return CallResult(Outcome.UNKNOWN, status, result.reason, result.detail)
+        if result.reason is Reason.BODY_BROKEN:
+            return _refused(result.reason, result.detail, _BAD_REQUEST)
+        return _refused(result.reason, result.detail, _GATEWAY_TIMEOUT if late else _UNAVAILABLE)
+
+    def _finish(self, pool: ServicePool, choice: Choice, started: Seconds, ending: _Ending) -> None:
+        pool.finish(
+            choice.target,
+            started=started,
+            failed=ending is _Ending.FAILED,
+            counted=ending is not _Ending.DECLINED,
+        )
+
+    def _may_retry(
+        self,
+        call: Call,
+        body: RequestBody,
+        ended: CallResult,
+        settings: Settings,
+        progress: _Progress,
+    ) -> bool:
+        """Return whether another target may be tried without harm."""
+        if ended.begun or ended.outcome is Outcome.ANSWERED:
+            return False
+        if ended.outcome is Outcome.UNKNOWN and not settings.repeatable:
+            return False
+        if ended.reason in (Reason.CALLER_GONE, Reason.DEADLINE_EXPIRED, Reason.BODY_BROKEN):
+            return False
+        if len(progress.tried) >= settings.attempts or not body.replayable:
+            return False
+        return self._clock() < call.deadline
+
+    def _log_choice(self, call: Call, choice: Choice, progress: _Progress) -> None:
+        event(
+            _log,
+            "choice",
+            call=call.call_id,
+            service=call.service,
+            kind=call.kind,
+            target=choice.target.address,
+            score=round(choice.score, 3),
+            reason=choice.reason,
+            attempt=len(progress.tried) + 1,
+            waited_ms=round(progress.waited * 1000, 2),
+            version=self._holder.version,
+            candidates={c.address: round(c.score, 3) for c in choice.candidates},
+        )
+
+    def _ended(self, call: Call, result: CallResult, progress: _Progress) -> CallResult:
+        self._observer.call_ended(call, result, waited=progress.waited)
+        event(
+            _log,
+            "call",
+            call=call.call_id,
+            service=call.service,
+            kind=call.kind,
+            outcome=result.outcome,
+            status=result.status,
+            reason=result.reason,
+            detail=result.detail,
+            tried=progress.tried,
+            took_ms=round((self._clock() - call.arrived) * 1000, 2),
+            version=self._holder.version,
+        )
+        return result
+
+
+def _refused(
+    reason: Reason, detail: str, status: int, retry_after: Seconds | None = None
+) -> CallResult:
+    if retry_after is None and status == _UNAVAILABLE:
+        retry_after = _RETRY_AFTER_S
+    return CallResult(Outcome.NOT_RUN, status, reason, detail, retry_after)
--- /dev/null
+++ b/dunlinnotch/coordination/settings.py
@@ -0,0 +1,292 @@
+"""Keep the settings tree in force, follow the table and make edits.
+
+The table holds one row for the newest version and one for each edit, both
+written in one transaction; the object store holds a snapshot now and then, so
+that a box that starts need not read every edit.  A tree only ever moves to a
+higher version.
+"""
+
+from __future__ import annotations
+
+import logging
+import threading
+from typing import TYPE_CHECKING
+
+from dunlinnotch import _codec
+from dunlinnotch._logs import event
+from dunlinnotch.errors import PlatformUnavailableError, ProtocolError, SettingsError
+from dunlinnotch.protocol.outcome import EditResult, EditStatus
+from dunlinnotch.protocol.platform import Check, Put, SettingsHead, Transaction, TransactResult
+from dunlinnotch.state.tree import Edit, SettingsTree
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from dunlinnotch.protocol.platform import Platform, Row
+    from dunlinnotch.types import Clock, Seconds, Version
+
+HEAD_KEY = "settings/head"
+EDIT_PREFIX = "settings/edit/"
+SNAPSHOT = "settings/snapshot"
+#: A snapshot is stored at each multiple of this version.
+SNAPSHOT_EVERY = 64
+_SCAN_LIMIT = 256
+#: Rounds in which an edit is tried or read back before it is called unknown.
+_EDIT_ROUNDS = 6
+
+_log = logging.getLogger(__name__)
+
+
+def edit_key(version: Version) -> str:
+    """Return the key of the row that holds the edit which made ``version``."""
+    return f"{EDIT_PREFIX}{version:012d}"
+
+
+class SettingsHolder:
+    """The settings tree in force on this box.
+
+    Parameters
+    ----------
+    on_change : callable, optional
+        Called with each new tree, in order of version.
+
+    Notes
+    -----
+    Thread-safe.  Reading :attr:`tree` takes no lock.
+    """
+
+    def __init__(self, on_change: Callable[[SettingsTree], None] | None = None) -> None:
+        self.tree = SettingsTree()
+        self._on_change = on_change
+        self._changed = threading.Condition()
+
+    @property
+    def version(self) -> Version:
+        """Version in force; 0 before any is known."""
+        return self.tree.version
+
+    def advance(self, edits: Iterable[Edit]) -> bool:
+        """Apply those edits that follow the tree in force.
+
+        Returns
+        -------
+        bool
+            Whether the version moved.
+        """
+        with self._changed:
+            tree = self.tree
+            for edit in edits:
+                if edit.version == tree.version + 1:
+                    tree = tree.apply(edit)
+            return self._put_in_force(tree)
+
+    def replace(self, tree: SettingsTree) -> bool:
+        """Take a whole tree if it is newer; return whether it was."""
+        with self._changed:
+            return self._put_in_force(tree)
+
+    def wait_beyond(self, version: Version, timeout: Seconds) -> bool:
+        """Wait until a higher version is in force; return whether one is."""
+        with self._changed:
+            return self._changed.wait_for(lambda: self.tree.version > version, timeout)
+
+    def _put_in_force(self, tree: SettingsTree) -> bool:
+        if tree.version <= self.tree.version:
+            return False
+        old, self.tree = self.tree.version, tree
+        if self._on_change is not None:
+            self._on_change(tree)
+        event(_log, "settings-in-force", version=tree.version, before=old)
+        self._changed.notify_all()
+        return True
+
+
+class SettingsFollower:
+    """Read new edits from the table into a holder.
+
+    Parameters
+    ----------
+    platform : Platform
+    holder : SettingsHolder
+    clock : callable
+    """
+
+    def __init__(self, platform: Platform, holder: SettingsHolder, *, clock: Clock) -> None:
+        self._platform = platform
+        self._holder = holder
+        self._clock = clock
+        self.read_at: Seconds | None = None
+        self.head_row_version = 0
+
+    def poll(self) -> bool:
+        """Bring the holder up to the table's newest version.
+
+        Returns
+        -------
+        bool
+            Whether the version moved.
+
+        Raises
+        ------
+        PlatformUnavailableError
+        """
+        asked = self._clock()
+        row = self._platform.read(HEAD_KEY)
+        head = _head_version(row)
+        self.head_row_version = row.version if row is not None else 0
+        moved = self._catch_up(head)
+        self.read_at = asked
+        return moved
+
+    def _catch_up(self, head: Version) -> bool:
+        start = self._holder.version
+        if head > start and start == 0:
+            self._load_snapshot()
+        while self._holder.version < head:
+            after = edit_key(self._holder.version)
+            rows = self._platform.scan(EDIT_PREFIX, after=after, limit=_SCAN_LIMIT)
+            edits = [_codec.from_json(Edit, row.value.encode()) for row in rows]
+            if not self._holder.advance(edits):
+                break
+        return self._holder.version > start
+
+    def _load_snapshot(self) -> None:
+        data = self._platform.get_object(SNAPSHOT)
+        if data is not None:
+            self._holder.replace(_codec.from_json(SettingsTree, data))
+
+
+class SettingsEditor:
+    """Make operators' edits by compare-and-set on the table.
+
+    Parameters
+    ----------
+    platform : Platform
+    holder : SettingsHolder
+    follower : SettingsFollower
+    missing : callable
+        Given a version, returns the names of the boxes that may serve and
+        have not confirmed it.
+    wait : callable
+        Given a version and seconds, waits until ``missing`` is empty.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        holder: SettingsHolder,
+        follower: SettingsFollower,
+        *,
+        missing: Callable[[Version], tuple[str, ...]],
+        wait: Callable[[Version, Seconds], bool],
+    ) -> None:
+        self._platform = platform
+        self._holder = holder
+        self._follower = follower
+        self._missing = missing
+        self._wait = wait
+        self._lock = threading.Lock()
+
+    def edit(self, edit: Edit, *, timeout: Seconds) -> EditResult:
+        """Make one edit and wait until it is in force.
+
+        Parameters
+        ----------
+        edit : Edit
+            With the same id in each repeat.
+        timeout : float
+            Seconds to wait for the boxes' confirmations.
+
+        Returns
+        -------
+        EditResult
+        """
+        with self._lock:
+            made = self._commit(edit)
+        event(
+            _log,
+            "settings-edit",
+            edit=edit.edit_id,
+            author=edit.author,
+            status=made.status,
+            version=made.version,
+            paths=sorted(edit.paths()),
+            detail=made.detail,
+        )
+        if made.status is not EditStatus.ACCEPTED:
+            return made
+        self._wait(made.version, timeout)
+        missing = self._missing(made.version)
+        status = EditStatus.PENDING if missing else EditStatus.ACCEPTED
+        return EditResult(status, made.version, missing=missing)
+
+    def _commit(self, edit: Edit) -> EditResult:
+        """Write the edit, settling lost answers by reading back."""
+        sent = False
+        for _ in range(_EDIT_ROUNDS):
+            try:
+                self._follower.poll()
+                refused = self._settled(edit)
+                if refused is not None:
+                    return refused
+                sent = True
+                if self._write(edit) is TransactResult.COMMITTED:
+                    return self._in_force_here(edit)
+            except PlatformUnavailableError as error:
+                if not sent:
+                    return EditResult(EditStatus.UNAVAILABLE, self._holder.version, str(error))
+        detail = "the platform did not say whether the edit was kept; ask again with the same id"
+        return EditResult(EditStatus.UNKNOWN, self._holder.version, detail)
+
+    def _settled(self, edit: Edit) -> EditResult | None:
+        """Return the result if the edit was kept earlier, is bad or conflicts."""
+        tree = self._holder.tree
+        known = tree.find_edit(edit.edit_id)
+        if known is not None:
+            return EditResult(EditStatus.ACCEPTED, known.version)
+        if conflicts := tree.conflicts(edit):
+            detail = f"changed by someone else since version {edit.base}"
+            return EditResult(EditStatus.CONFLICT, tree.version, detail, conflicts)
+        try:
+            tree.apply(_numbered(edit, tree.version + 1))
+        except SettingsError as error:
+            return EditResult(EditStatus.INVALID, tree.version, str(error))
+        return None
+
+    def _write(self, edit: Edit) -> TransactResult:
+        version = self._holder.version + 1
+        numbered = _numbered(edit, version)
+        transaction = Transaction(
+            checks=(Check(HEAD_KEY, self._follower.head_row_version), Check(edit_key(version), 0)),
+            puts=(
+                Put(HEAD_KEY, _codec.to_json(SettingsHead(version)).decode()),
+                Put(edit_key(version), _codec.to_json(numbered).decode()),
+            ),
+        )
+        return self._platform.transact(transaction)
+
+    def _in_force_here(self, edit: Edit) -> EditResult:
+        version = self._holder.version + 1
+        self._holder.advance([_numbered(edit, version)])
+        if version % SNAPSHOT_EVERY == 0:
+            self._store_snapshot()
+        return EditResult(EditStatus.ACCEPTED, version)
+
+    def _store_snapshot(self) -> None:
+        try:
+            self._platform.put_object(SNAPSHOT, _codec.to_json(self._holder.tree))
+        except PlatformUnavailableError as error:
+            event(_log, "snapshot-failed", level=logging.WARNING, detail=str(error))
+
+
+def _numbered(edit: Edit, version: Version) -> Edit:
+    return Edit(edit.edit_id, edit.base, edit.author, edit.changes, version)
+
+
+def _head_version(row: Row | None) -> Version:
+    if row is None:
+        return 0
+    try:
+        return _codec.from_json(SettingsHead, row.value.encode()).version
+    except ProtocolError as error:
+        raise PlatformUnavailableError(str(error)) from None
--- /dev/null
+++ b/dunlinnotch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon, one plain process for each box."""
--- /dev/null
+++ b/dunlinnotch/daemon/__main__.py
@@ -0,0 +1,47 @@
+"""Start the daemon: ``dunlinnotchd --settings box.ini``."""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from dunlinnotch import _logs
+from dunlinnotch.config import read_config
+from dunlinnotch.daemon.box import Box
+from dunlinnotch.errors import ConfigError
+
+#: Exit status for settings that can't be used.
+EXIT_CONFIG = 2
+
+
+def main() -> int:
+    """Run the daemon; return its exit status."""
+    parser = argparse.ArgumentParser(prog="dunlinnotchd", description="Run one box.")
+    parser.add_argument("--settings", required=True, type=Path, help="INI file of this box")
+    arguments = parser.parse_args()
+    try:
+        config = read_config(arguments.settings)
+    except ConfigError as error:
+        print(error, file=sys.stderr)  # noqa: T201
+        return EXIT_CONFIG
+    _logs.configure(level=config.logs.level)
+    box = Box(config)
+
+    def stop(*_: object) -> None:
+        box.signalled = True
+        threading.Thread(target=box.begin_drain, daemon=True).start()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    gc.collect()
+    gc.freeze()
+    box.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dunlinnotch/daemon/metrics.py
@@ -0,0 +1,96 @@
+"""Metrics, all from one table, sent by statsd."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+import statsd
+
+from dunlinnotch.protocol.attempt import Answered, Broken, NotSent, Refused
+
+if TYPE_CHECKING:
+    from dunlinnotch.protocol.attempt import AttemptResult
+    from dunlinnotch.protocol.http import Call
+    from dunlinnotch.protocol.outcome import CallResult
+    from dunlinnotch.types import Address, Clock, Seconds
+
+
+class MetricInfo(NamedTuple):
+    """Name, type, unit and meaning of one metric."""
+
+    name: str
+    type: str
+    unit: str
+    meaning: str
+
+
+class Metric(Enum):
+    """All metrics; ``docs/METRICS.md`` is generated from this table."""
+
+    CALLS = MetricInfo("calls.{outcome}", "counter", "calls", "Calls ended, by outcome.")
+    REFUSED = MetricInfo("refused.{reason}", "counter", "calls", "Calls not answered, by reason.")
+    CALL_TIME = MetricInfo("call.time", "timer", "ms", "From the head to the end of the answer.")
+    QUEUE_TIME = MetricInfo("call.queue", "timer", "ms", "Wait for a target.")
+    ATTEMPTS = MetricInfo("attempts.{end}", "counter", "attempts", "Attempts at targets, by end.")
+    RETRIES = MetricInfo("retries", "counter", "attempts", "Attempts after the first one.")
+    PROBES = MetricInfo("probes.{end}", "counter", "probes", "Probes sent, by end.")
+    PROBE_TIME = MetricInfo("probe.time", "timer", "ms", "Time that a probe took.")
+    IN_FLIGHT = MetricInfo("in_flight", "gauge", "calls", "Calls accepted and not ended.")
+    VERSION = MetricInfo("settings.version", "gauge", "version", "Settings version in force.")
+    TABLE_AGE = MetricInfo("settings.age", "gauge", "s", "Time since the table was last read.")
+    PEERS = MetricInfo("peers", "gauge", "boxes", "Live boxes known, this one included.")
+    PEER_BYTES = MetricInfo("peer.sent", "counter", "bytes", "Sent on links that this box opened.")
+    DRAINING = MetricInfo("draining", "gauge", "0 or 1", "Whether this box is draining.")
+
+
+_ENDS = {Answered: "answered", Refused: "refused", Broken: "broken", NotSent: "not_sent"}
+
+
+class Metrics:
+    """Send metrics, or do nothing if no server is set.
+
+    Parameters
+    ----------
+    server : str or None
+    prefix : str
+    clock : callable
+    """
+
+    def __init__(self, server: Address | None, *, prefix: str, clock: Clock) -> None:
+        self._clock = clock
+        self._client = None
+        if server is not None:
+            host, _, port = server.rpartition(":")
+            self._client = statsd.StatsClient(host.strip("[]"), int(port), prefix=prefix)
+
+    def count(self, metric: Metric, amount: int = 1, **parts: str) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(metric.value.name.format(**parts), amount)
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(metric.value.name, value)
+
+    def timing(self, metric: Metric, seconds: Seconds) -> None:
+        """Send a time."""
+        if self._client is not None:
+            self._client.timing(metric.value.name, seconds * 1000)
+
+    def attempt_ended(self, result: AttemptResult, *, retry: bool) -> None:
+        """Note the end of an attempt."""
+        self.count(Metric.ATTEMPTS, end=_ENDS[type(result)])
+        if retry:
+            self.count(Metric.RETRIES)
+
+    def call_ended(self, call: Call, result: CallResult, *, waited: Seconds) -> None:
+        """Note the end of a call."""
+        if self._client is None:
+            return
+        self.count(Metric.CALLS, outcome=result.outcome.replace("-", "_"))
+        if result.reason is not None:
+            self.count(Metric.REFUSED, reason=result.reason.replace("-", "_"))
+        self.timing(Metric.CALL_TIME, self._clock() - call.arrived)
+        self.timing(Metric.QUEUE_TIME, waited)
--- /dev/null
+++ b/dunlinnotch/daemon/operator.py
@@ -0,0 +1,141 @@
+"""The operator port: status, settings, why this choice."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+from dunlinnotch import _codec
+from dunlinnotch._logs import event
+from dunlinnotch.errors import DunlinnotchError
+from dunlinnotch.protocol.operator import EditRequest, Explained, Failure, Status, TargetNow
+from dunlinnotch.state.heads import Header
+from dunlinnotch.state.schema import FIELD_NAMES
+from dunlinnotch.state.tree import check_path
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dunlinnotch.daemon.box import Box
+    from dunlinnotch.protocol.outcome import Reason
+    from dunlinnotch.transport.server import Exchange
+
+_JSON = Header("Content-Type", "application/json")
+_BODY_MAX = 4 * 1024 * 1024
+
+_log = logging.getLogger(__name__)
+
+
+class OperatorPort:
+    """Serve operators.
+
+    Parameters
+    ----------
+    box : Box
+    """
+
+    def __init__(self, box: Box) -> None:
+        self._box = box
+        self._routes = {
+            ("GET", "/status"): self._status,
+            ("GET", "/settings"): self._settings,
+            ("POST", "/settings/edit"): self._edit,
+            ("GET", "/explain"): self._explain,
+            ("GET", "/targets"): self._targets,
+            ("POST", "/log-level"): self._log_level,
+        }
+
+    def __call__(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        url = urlsplit(exchange.path)
+        route = self._routes.get((exchange.method, url.path))
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if route is None:
+            known = ", ".join(f"{method} {path}" for method, path in self._routes)
+            self._send(exchange, 404, Failure("path-unknown", f"known: {known}"))
+            return
+        try:
+            self._send(exchange, 200, route(query, _read(exchange)))
+        except DunlinnotchError as error:
+            self._send(exchange, 400, Failure(error.code, str(error)))
+
+    def bad_head(self, reason: Reason, detail: str) -> tuple[int, Sequence[Header], bytes]:
+        """Return the answer to a head that can't be used."""
+        return 400, [_JSON], _codec.to_json(Failure(reason.value, detail))
+
+    @staticmethod
+    def _send(exchange: Exchange, status: int, value: object) -> None:
+        exchange.reply(status, [_JSON], _codec.to_json(value))
+
+    def _status(self, _query: dict[str, str], _body: bytes) -> Status:
+        box = self._box
+        refusal = box.gate.refusal()
+        return Status(
+            box=box.box,
+            version=box.holder.version,
+            in_flight=box.gate.in_flight,
+            table_age_s=box.membership.table_age(),
+            refusing=None if refusal is None else refusal.detail,
+            drain=box.drain.status(),
+            links=tuple(box.links.names()),
+            rows=tuple(box.membership.rows()),
+        )
+
+    def _settings(self, _query: dict[str, str], _body: bytes) -> object:
+        return self._box.holder.tree
+
+    def _edit(self, _query: dict[str, str], body: bytes) -> object:
+        request = _codec.from_json(EditRequest, body)
+        result = self._box.editor.edit(request.edit, timeout=request.wait_s)
+        self._box.links.wake()
+        return result
+
+    def _explain(self, query: dict[str, str], _body: bytes) -> object:
+        path = query.get("path", "/")
+        check_path(path)
+        tree = self._box.holder.tree
+        effective = tree.effective(path).model_dump(mode="json")
+        return tuple(
+            Explained(name, _text(effective[name]), tree.source(path, name)) for name in FIELD_NAMES
+        )
+
+    def _targets(self, query: dict[str, str], _body: bytes) -> object:
+        pool = self._box.directory.pool(query.get("service", ""))
+        scores = [] if pool is None else pool.scores()
+        return tuple(
+            TargetNow(
+                t.address,
+                t.place,
+                round(score, 3),
+                t.own,
+                round(t.others, 2),
+                round(t.doubt, 3),
+                t.leaving,
+                t.aside,
+            )
+            for t, score in scores
+        )
+
+    def _log_level(self, query: dict[str, str], _body: bytes) -> object:
+        level = query.get("level", "").upper()
+        if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+            return Failure(
+                "level-unknown", f"level {level!r}; allowed: DEBUG, INFO, WARNING, ERROR"
+            )
+        logging.getLogger().setLevel(level)
+        event(_log, "log-level", level=logging.WARNING, new=level)
+        return Failure("ok", level)
+
+
+def _text(value: object) -> str:
+    return ", ".join(map(str, value)) if isinstance(value, list) else str(value)
+
+
+def _read(exchange: Exchange) -> bytes:
+    data = bytearray()
+    for part in exchange.body():
+        data += part
+        if len(data) > _BODY_MAX:
+            break
+    return bytes(data)
--- /dev/null
+++ b/dunlinnotch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, headers and codecs; no sockets."""
--- /dev/null
+++ b/dunlinnotch/protocol/outcome.py
@@ -0,0 +1,115 @@
+"""What became of a call or of an edit, as values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dunlinnotch._codec import wire
+from dunlinnotch.types import Seconds, Version
+
+
+class Outcome(StrEnum):
+    """What a caller may conclude about its request.
+
+    ``NOT_RUN`` is said only when no byte of the request reached a target or
+    the target itself marked its refusal.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Stable codes that say why a call was refused or is unknown."""
+
+    HEAD_INVALID = "head-invalid"
+    HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TIMEOUT = "head-timeout"
+    SERVICE_MISSING = "service-missing"
+    SERVICE_UNKNOWN = "service-unknown"
+    KIND_MISSING = "kind-missing"
+    KIND_UNKNOWN = "kind-unknown"
+    DEADLINE_INVALID = "deadline-invalid"
+    DEADLINE_EXPIRED = "deadline-expired"
+    BODY_BROKEN = "body-broken"
+    QUEUE_FULL = "queue-full"
+    NO_TARGET = "no-target"
+    CONNECT_FAILED = "connect-failed"
+    TARGET_REFUSED = "target-refused"
+    TARGET_BROKEN = "target-broken"
+    CALLER_GONE = "caller-gone"
+    NO_SETTINGS = "no-settings"
+    CUT_OFF = "cut-off"
+    BOX_DRAINED = "box-drained"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
+    ONCE_KEY_MISSING = "once-key-missing"
+    ONCE_KEY_INVALID = "once-key-invalid"
+    ONCE_KEY_EXPIRED = "once-key-expired"
+    ONCE_KEY_ELSEWHERE = "once-key-elsewhere"
+    ONCE_KEY_KNOWN = "once-key-known"
+
+
+@wire
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """The end of one call.
+
+    Parameters
+    ----------
+    outcome : Outcome
+    status : int
+        HTTP status given to the caller; 0 if the answer was cut.
+    reason : Reason or None
+        ``None`` for a whole answer of the target.
+    detail : str, default ""
+    retry_after : float or None
+        Seconds after which the caller may come back.
+    begun : bool, default False
+        Whether an answer's head has already gone to the caller.
+    """
+
+    outcome: Outcome
+    status: int
+    reason: Reason | None = None
+    detail: str = ""
+    retry_after: Seconds | None = None
+    begun: bool = False
+
+
+class EditStatus(StrEnum):
+    """What became of an operator's edit."""
+
+    ACCEPTED = "accepted"
+    PENDING = "pending"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+    UNAVAILABLE = "unavailable"
+
+
+@wire
+@dataclass(frozen=True, slots=True)
+class EditResult:
+    """The end of one edit.
+
+    Parameters
+    ----------
+    status : EditStatus
+        ``ACCEPTED`` once every box that can serve has the edit in force,
+        ``PENDING`` if it is kept for good but some box has not confirmed it.
+    version : int
+        The version made, or the newest one known.
+    detail : str, default ""
+    conflicts : tuple of str
+        Paths changed by someone else.
+    missing : tuple of str
+        Boxes that have not confirmed the version.
+    """
+
+    status: EditStatus
+    version: Version
+    detail: str = ""
+    conflicts: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
--- /dev/null
+++ b/dunlinnotch/protocol/peers.py
@@ -0,0 +1,76 @@
+"""Messages between boxes, carried as a stream of msgpack objects."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from dunlinnotch._codec import wire
+from dunlinnotch.state.boxes import BoxRow
+from dunlinnotch.state.tree import Edit, SettingsTree
+from dunlinnotch.types import Version
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dunlinnotch.types import Address
+
+
+@wire
+@dataclass(frozen=True, slots=True)
+class Sync:
+    """One turn of a link: what the sender knows and the receiver may not.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the box.
+    incarnation : int
+    version : int
+        Settings version in force at the sender.
+    table_age : float or None
+        Seconds since the sender last read the table.
+    rows : tuple of BoxRow
+        Rows that are newer than what the receiver is known to have.
+    edits : tuple of Edit
+        Edits after the receiver's last known version.
+    tree : SettingsTree or None
+        The whole tree, if the edits no longer reach back far enough.
+    """
+
+    sender: str
+    incarnation: int
+    version: Version
+    table_age: float | None
+    rows: tuple[BoxRow, ...]
+    edits: tuple[Edit, ...] = ()
+    tree: SettingsTree | None = None
+
+
+@dataclass(slots=True)
+class LinkState:
+    """What a peer at the other end of one link is known to have.
+
+    Parameters
+    ----------
+    rows : dict of str to (int, int)
+        Newest row of each box that the peer sent or was sent.
+    version : int
+        Settings version that the peer last named.
+    """
+
+    rows: dict[str, tuple[int, int]] = field(default_factory=dict)
+    version: Version = 0
+
+
+class PeerExchange(Protocol):
+    """What a link needs of the box's knowledge of its peers."""
+
+    def turn(self, link: LinkState) -> Sync:
+        """Return what the peer on ``link`` may not know yet."""
+
+    def take(self, sync: Sync, link: LinkState) -> None:
+        """Take in what a peer sent."""
+
+    def links(self, count: int, seeds: Iterable[Address]) -> dict[str, Address]:
+        """Return the peers to connect to, by name."""
--- /dev/null
+++ b/dunlinnotch/standins/common.py
@@ -0,0 +1,64 @@
+"""What the stand-ins share: a server with a port for faults beside it."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from typing import TYPE_CHECKING
+
+from dunlinnotch import _codec
+from dunlinnotch.errors import DunlinnotchError
+from dunlinnotch.state.heads import Header
+from dunlinnotch.transport.server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dunlinnotch.protocol.outcome import Reason
+    from dunlinnotch.transport.server import Exchange, Handler
+    from dunlinnotch.types import Address
+
+JSON = Header("Content-Type", "application/json")
+
+
+def bad_head(reason: Reason, detail: str) -> tuple[int, Sequence[Header], bytes]:
+    """Return the answer to a head that can't be used."""
+    return 400, [JSON], f"{reason}: {detail}".encode()
+
+
+def serve(handler: Handler, address: Address) -> HttpServer:
+    """Serve ``handler`` at ``host:port`` (port 0: one from the kernel)."""
+    host, _, port = address.rpartition(":")
+    server = HttpServer((host, int(port)), handler, bad_head, idle_s=600.0)
+    server.start_in_background()
+    return server
+
+
+def send(exchange: Exchange, status: int, value: object, *headers: Header) -> None:
+    """Answer with JSON."""
+    exchange.reply(status, [JSON, *headers], _codec.to_json(value))
+
+
+def guarded(handler: Handler) -> Handler:
+    """Return a handler that answers bad input with 400."""
+
+    def checked(exchange: Exchange) -> None:
+        try:
+            handler(exchange)
+        except DunlinnotchError as error:
+            send(exchange, 400, str(error))
+
+    return checked
+
+
+def body_of(exchange: Exchange) -> bytes:
+    """Return the whole body of a request."""
+    return b"".join(exchange.body())
+
+
+def run_until_signal() -> None:
+    """Wait for the signal that ends a stand-in."""
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    signal.signal(signal.SIGINT, lambda *_: stopped.set())
+    stopped.wait()
--- /dev/null
+++ b/dunlinnotch/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a box knows: settings tree, target records, box rows, ledger, leases."""
--- /dev/null
+++ b/dunlinnotch/state/targets.py
@@ -0,0 +1,141 @@
+"""What one box knows of one target: exact counts of its own, estimates of the rest."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Address, Seconds
+
+#: Weight of a new sample in the share of reports that were found too low.
+_DOUBT_GAIN = 0.1
+#: Share of shortfall above which a target's own reports are no longer used.
+DOUBT_LIMIT = 0.35
+#: Time constant, in seconds, over which the load charged for errors fades.
+_ERROR_FADE_S = 0.5
+#: Share of its slots that a wholly cold target is trusted with.
+_COLD_SHARE = 0.2
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """State of one target as seen by one box.
+
+    Parameters
+    ----------
+    address : str
+    place : str
+    slots : int
+        Calls the target runs at once.
+    sharers : float, default 1.0
+        Boxes that send to this target, this one included.
+
+    Notes
+    -----
+    ``own`` is exact.  ``others`` comes from the target's own word on its last
+    answer and is stale by the time it is read; :meth:`occupancy` ages it
+    back to the mean of all targets.
+    """
+
+    address: Address
+    place: str
+    slots: int
+    sharers: float = 1.0
+    own: int = 0
+    others: float = 0.0
+    reported_at: Seconds = -math.inf
+    doubt: float = 0.0
+    error_load: float = 0.0
+    error_at: Seconds = -math.inf
+    errors_in_row: int = 0
+    aside: bool = False
+    next_trial: Seconds = -math.inf
+    trial_running: bool = False
+    leaving: bool = False
+    incarnation: str | None = None
+    warm_from: Seconds = -math.inf
+    warm_up: Seconds = 0.0
+    last_used: Seconds = -math.inf
+
+    def occupancy(self, now: Seconds, *, mean_others: float, fade: Seconds) -> float:
+        """Return the calls thought to be in flight at the target.
+
+        Parameters
+        ----------
+        now : float
+        mean_others : float
+            Mean of the other boxes' calls over all targets.
+        fade : float
+            Time constant, in seconds, at which a report loses its worth.
+        """
+        if self.doubt > DOUBT_LIMIT:
+            others = max(mean_others, self.own * (self.sharers - 1.0))
+        else:
+            weight = math.exp(-(now - self.reported_at) / fade)
+            others = mean_others + (self.others - mean_others) * weight
+        return self.own + others + self.charged_errors(now)
+
+    def charged_errors(self, now: Seconds) -> float:
+        """Return the load charged for recent errors, in calls."""
+        if self.error_load == 0.0:
+            return 0.0
+        return self.error_load * math.exp(-(now - self.error_at) / _ERROR_FADE_S)
+
+    def capacity(self, now: Seconds) -> float:
+        """Return the slots the target is trusted with; fewer while it is cold."""
+        if self.warm_up <= 0.0 or now >= self.warm_from + self.warm_up:
+            return float(self.slots)
+        warmth = max(0.0, (now - self.warm_from) / self.warm_up)
+        return self.slots * (_COLD_SHARE + (1.0 - _COLD_SHARE) * warmth)
+
+    def heard(self, now: Seconds, in_flight: int) -> float:
+        """Take in a target's report; return its estimate of the others' calls.
+
+        Parameters
+        ----------
+        now : float
+        in_flight : int
+            Calls at the target besides the one that was answered.
+        """
+        own_besides = max(0, self.own - 1)
+        if own_besides > 1:
+            short = max(0.0, own_besides - in_flight) / own_besides
+            self.doubt += _DOUBT_GAIN * (short - self.doubt)
+        self.others = float(max(0, in_flight - own_besides))
+        self.reported_at = now
+        return self.others
+
+    def failed(self, now: Seconds) -> None:
+        """Charge an error as one full target's load, so that failing fast never looks fast."""
+        self.error_load = min(self.charged_errors(now), 2.0 * self.slots) + self.slots
+        self.error_at = now
+        self.errors_in_row += 1
+
+    def succeeded(self) -> None:
+        """Forget errors in a row; the charged load fades by itself."""
+        self.errors_in_row = 0
+        self.aside = False
+        self.trial_running = False
+
+    def take_state(self, incarnation: str | None, *, leaving: bool) -> None:
+        """Take in whether the target leaves.
+
+        Leaving is final for one start of a target, whatever a lagging report
+        says later; only a target that says it has started anew takes work
+        again.
+        """
+        restarted = incarnation is not None and incarnation != self.incarnation
+        if restarted and self.incarnation is not None:
+            self.leaving = False
+            self.doubt = 0.0
+        if incarnation is not None:
+            self.incarnation = incarnation
+        self.leaving = self.leaving or leaving
+
+    def begin_warm_up(self, now: Seconds, duration: Seconds) -> None:
+        """Start the ramp of a target that said it is cold."""
+        if now >= self.warm_from + self.warm_up:
+            self.warm_from = now
+            self.warm_up = duration
--- /dev/null
+++ b/dunlinnotch/transport/operator.py
@@ -0,0 +1,84 @@
+"""A client of boxes' operator ports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import urlencode
+
+import urllib3
+
+from dunlinnotch import _codec
+from dunlinnotch.errors import BoxUnreachableError, RequestRefusedError
+from dunlinnotch.protocol.operator import EditRequest, Explained, Failure, Status, TargetNow
+from dunlinnotch.protocol.outcome import EditResult
+from dunlinnotch.state.tree import SettingsTree
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dunlinnotch.types import Address, Seconds
+
+T = TypeVar("T")
+
+_OK = 200
+#: Time beyond an edit's own wait before a box counts as unreachable, in seconds.
+_SLACK_S = 10.0
+
+
+class OperatorClient:
+    """Ask the first box that can be reached.
+
+    Parameters
+    ----------
+    boxes : sequence of str
+        Operator addresses, in the order in which to try them.
+    """
+
+    def __init__(self, boxes: Sequence[Address]) -> None:
+        self._boxes = tuple(boxes)
+        self._http = urllib3.PoolManager(retries=False)
+
+    def status(self) -> Status:
+        """Return the status of the box."""
+        return self._ask(Status, "GET", "/status")
+
+    def tree(self) -> SettingsTree:
+        """Return the settings tree in force there."""
+        return self._ask(SettingsTree, "GET", "/settings")
+
+    def explain(self, path: str) -> list[Explained]:
+        """Return each effective value at ``path`` with its source."""
+        return self._ask(list[Explained], "GET", f"/explain?{urlencode({'path': path})}")
+
+    def targets(self, service: str) -> list[TargetNow]:
+        """Return the targets of a service as the box sees them now."""
+        return self._ask(list[TargetNow], "GET", f"/targets?{urlencode({'service': service})}")
+
+    def log_level(self, level: str) -> None:
+        """Change the least level that the box logs."""
+        self._ask(Failure, "POST", f"/log-level?{urlencode({'level': level})}")
+
+    def edit(self, request: EditRequest) -> EditResult:
+        """Make an edit; it carries an id, so trying another box is safe."""
+        body = _codec.to_json(request)
+        return self._ask(EditResult, "POST", "/settings/edit", body, wait=request.wait_s)
+
+    def _ask(
+        self, cls: type[T], method: str, path: str, body: bytes | None = None, wait: Seconds = 0.0
+    ) -> T:
+        failures = []
+        for box in self._boxes:
+            try:
+                response = self._http.request(
+                    method, f"http://{box}{path}", body=body, timeout=wait + _SLACK_S
+                )
+            except (urllib3.exceptions.HTTPError, OSError) as error:
+                failures.append(f"{box}: {error}")
+                continue
+            if response.status != _OK:
+                failure = _codec.from_json(Failure, response.data)
+                msg = f"box {box}: {failure.code}: {failure.detail}"
+                raise RequestRefusedError(msg)
+            return _codec.from_json(cls, response.data)
+        msg = f"no box answered ({'; '.join(failures) or 'none was named; give --box'})"
+        raise BoxUnreachableError(msg)
--- /dev/null
+++ b/dunlinnotch/transport/platform.py
@@ -0,0 +1,88 @@
+"""Talk to the platform's table service and object store over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import quote, urlencode
+
+import urllib3
+
+from dunlinnotch import _codec
+from dunlinnotch.errors import PlatformUnavailableError, ProtocolError
+from dunlinnotch.protocol.platform import ListedBox, Row, Transaction, TransactResult
+
+if TYPE_CHECKING:
+    from urllib3 import BaseHTTPResponse
+
+    from dunlinnotch.types import Address, Seconds
+
+T = TypeVar("T")
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+class PlatformClient:
+    """A client of the platform; see :class:`dunlinnotch.protocol.platform.Platform`.
+
+    Parameters
+    ----------
+    address : str
+    timeout : float, default 1.0
+        Seconds after which a request counts as unanswered.
+    """
+
+    def __init__(self, address: Address, *, timeout: Seconds = 1.0) -> None:
+        self._base = f"http://{address}"
+        self._pool = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(total=timeout), maxsize=4, block=False
+        )
+
+    def read(self, key: str) -> Row | None:
+        """Return a row, perhaps a stale one."""
+        response = self._ask("GET", f"/table/row?{urlencode({'key': key})}")
+        return None if response.status == _NOT_FOUND else _decode(Row, response.data)
+
+    def scan(self, prefix: str, *, after: str, limit: int) -> list[Row]:
+        """Return rows whose key starts with ``prefix`` and sorts after ``after``."""
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        return _decode(list[Row], self._ask("GET", f"/table/rows?{query}").data)
+
+    def transact(self, transaction: Transaction) -> TransactResult:
+        """Apply a transaction."""
+        response = self._ask("POST", "/table/transact", _codec.to_json(transaction))
+        if response.status == _CONFLICT:
+            return TransactResult.CONFLICT
+        return TransactResult.COMMITTED
+
+    def get_object(self, name: str) -> bytes | None:
+        """Return an object's bytes."""
+        response = self._ask("GET", f"/objects/{quote(name, safe='')}")
+        return None if response.status == _NOT_FOUND else response.data
+
+    def put_object(self, name: str, data: bytes) -> None:
+        """Store an object."""
+        self._ask("PUT", f"/objects/{quote(name, safe='')}", data)
+
+    def list_boxes(self) -> list[ListedBox]:
+        """Return the boxes that the platform believes to be live."""
+        return _decode(list[ListedBox], self._ask("GET", "/boxes").data)
+
+    def _ask(self, method: str, path: str, body: bytes | None = None) -> BaseHTTPResponse:
+        try:
+            response = self._pool.request(method, self._base + path, body=body)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            msg = f"platform {self._base}: {error}"
+            raise PlatformUnavailableError(msg) from None
+        if response.status not in (_OK, _NOT_FOUND, _CONFLICT):
+            msg = f"platform {self._base} answered {response.status}"
+            raise PlatformUnavailableError(msg)
+        return response
+
+
+def _decode(cls: type[T], data: bytes) -> T:
+    try:
+        return _codec.from_json(cls, data)
+    except ProtocolError as error:
+        raise PlatformUnavailableError(str(error)) from None
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,96 @@
+"""Helpers shared by the tests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.standins.platform import PlatformFaults, Store
+from dunlinnotch.state.boxes import BoxRow
+from dunlinnotch.state.schema import RunState
+from dunlinnotch.state.tree import Change, Edit
+
+if TYPE_CHECKING:
+    from dunlinnotch.protocol.platform import ListedBox, Row, Transaction, TransactResult
+
+
+class FakeClock:
+    """A clock moved by hand."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+
+
+class FakePlatform:
+    """The stand-in's store without a socket; faults as in the stand-in."""
+
+    def __init__(self, store: Store | None = None) -> None:
+        self.store = store or Store()
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        self.store.set_faults(faults)
+
+    def _up(self) -> None:
+        if self.store.faults.down:
+            raise PlatformUnavailableError("down")
+
+    def read(self, key: str) -> Row | None:
+        self._up()
+        return self.store.read(key)
+
+    def scan(self, prefix: str, *, after: str, limit: int) -> list[Row]:
+        self._up()
+        return self.store.scan(prefix, after, limit)
+
+    def transact(self, transaction: Transaction) -> TransactResult:
+        self._up()
+        result = self.store.transact(transaction)
+        if self.store.lose_this_answer():
+            raise PlatformUnavailableError("answer lost")
+        return result
+
+    def get_object(self, name: str) -> bytes | None:
+        self._up()
+        return self.store.objects.get(name)
+
+    def put_object(self, name: str, data: bytes) -> None:
+        self._up()
+        self.store.objects[name] = data
+
+    def list_boxes(self) -> list[ListedBox]:
+        self._up()
+        return list(self.store.shown_boxes)
+
+
+@dataclass(frozen=True)
+class EditMaker:
+    """Makes edits with ids of their own."""
+
+    author: str = "anna"
+
+    def __call__(self, path: str, name: str, value: str | None, *, base: int, key: str) -> Edit:
+        return Edit(key, base, self.author, (Change(path, name, value),))
+
+
+def box_row(name: str, **changes: object) -> BoxRow:
+    """Return a row of a box with usual values."""
+    row = BoxRow(
+        name=name,
+        incarnation=1,
+        seq=1,
+        place="hall-a",
+        address="127.0.0.1:7001",
+        peer="127.0.0.1:7002",
+        state=RunState.RUNNING,
+        version=0,
+        in_flight=0,
+        tick=0.0,
+    )
+    return replace(row, **changes)
