--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Timings and rules compared within one run, as ratios; run as modules."""
--- a/dunlinnotch/coordination/choice.py
+++ b/dunlinnotch/coordination/choice.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from dunlinnotch.state.targets import Flight
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Iterable, Iterator, Sequence
@@ -20,6 +22,8 @@
 
 #: Fade of a report before any answer time is known, in seconds.
 _FIRST_FADE_S = 0.02
+#: Least time that a call is expected to take, in seconds.
+_LEAST_TIME_S = 0.0005
 #: Weight of a new sample in the running means.
 _GAIN = 0.05
 #: Fades without any report after which nothing is known of the others' calls.
@@ -94,6 +98,7 @@
         self._mean_others = 0.0
         self._last_report = -math.inf
         self._answer_time = _FIRST_FADE_S
+        self._answer_times: dict[str, Seconds] = {}
 
     def set_targets(self, targets: Iterable[TargetRecord], shares: dict[str, float]) -> None:
         """Replace the targets and the share of calls that each place takes.
@@ -165,13 +170,21 @@
             return self._chosen(everything, "spill" if spilled else "least")
         return self._last_resort(now, exclude)
 
-    def begin(self, target: TargetRecord, now: Seconds) -> None:
-        """Count one call as in flight at ``target``."""
-        target.own += 1
+    def begin(self, target: TargetRecord, now: Seconds, *, kind: str) -> Flight:
+        """Count one call as in flight at ``target``.
+
+        Returns
+        -------
+        Flight
+            To be given to :meth:`finish`.
+        """
+        flight = Flight(now, self._answer_times.get(kind, self._answer_time))
+        target.flights.append(flight)
         target.last_used = now
         if target.aside:
             target.trial_running = True
             target.next_trial = now + self.trial_s
+        return flight
 
     def heard(self, target: TargetRecord, now: Seconds, in_flight: int) -> None:
         """Take in a load report that came with an answer or a probe."""
@@ -180,33 +193,47 @@
         self._last_report = now
 
     def finish(
-        self, target: TargetRecord, now: Seconds, *, took: Seconds | None, failed: bool
+        self,
+        target: TargetRecord,
+        flight: Flight,
+        now: Seconds,
+        *,
+        kind: str,
+        failed: bool,
+        counted: bool = True,
     ) -> None:
         """Count one call as ended.
 
         Parameters
         ----------
         target : TargetRecord
+        flight : Flight
+            As returned by :meth:`begin`.
         now : float
-        took : float or None
-            Seconds from sending to the end of the answer; ``None`` if the
-            attempt says nothing of the target.
+        kind : str
         failed : bool
             Whether the target answered with an error or not at all.
+        counted : bool, default True
+            Whether the call says anything of the target's speed or errors.
         """
-        target.own -= 1
+        target.flights.remove(flight)
         target.trial_running = False
-        if took is None:
+        if not counted:
             return
         if not failed:
             target.succeeded()
-            self._answer_time += _GAIN * (took - self._answer_time)
+            self._learn_time(kind, now - flight.began)
             return
         target.failed(now)
         if target.errors_in_row >= self.eject_after and self._may_set_aside():
             target.aside = True
             target.next_trial = now + self.trial_s
 
+    def _learn_time(self, kind: str, took: Seconds) -> None:
+        self._answer_time += _GAIN * (took - self._answer_time)
+        known = self._answer_times.get(kind, self._answer_time)
+        self._answer_times[kind] = max(_LEAST_TIME_S, known + _GAIN * (took - known))
+
     def _mean_now(self, now: Seconds) -> float:
         silent = now - self._last_report
         return 0.0 if silent > _SILENT_FADES * self._answer_time else self._mean_others
--- a/dunlinnotch/coordination/limits.py
+++ b/dunlinnotch/coordination/limits.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from dunlinnotch.coordination.choice import Choice
+    from dunlinnotch.state.targets import Flight
     from dunlinnotch.types import Seconds
 
 #: Of so many calls let go while several ranks wait, one is of a later rank.
@@ -27,6 +28,23 @@
     LEFT = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Leave to send one call to one target.
+
+    Parameters
+    ----------
+    choice : Choice
+    flight : Flight
+        The call as it is counted at the target.
+    kind : str
+    """
+
+    choice: Choice
+    flight: Flight
+    kind: str
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """One call's place in the queue.
@@ -50,7 +68,7 @@
     repeatable: bool
     wake: Callable[[], None]
     state: TicketState = TicketState.WAITING
-    choice: Choice | None = None
+    grant: Grant | None = None
 
 
 @dataclass(slots=True)
@@ -104,13 +122,13 @@
         queue = self._next_queue()
         return queue.tickets[0] if queue is not None else None
 
-    def grant(self, ticket: Ticket, choice: Choice, now: Seconds) -> None:
+    def grant(self, ticket: Ticket, grant: Grant, now: Seconds) -> None:
         """Let a call that was peeked at go to the target chosen."""
         queue = self._kinds[ticket.kind]
         queue.tickets.remove(ticket)
         queue.turn += 1.0 / ticket.share
         ticket.state = TicketState.GRANTED
-        ticket.choice = choice
+        ticket.grant = grant
         self._waiting -= 1
         self._granted += 1
         self._note_grant(now)
--- a/dunlinnotch/coordination/pool.py
+++ b/dunlinnotch/coordination/pool.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch.coordination.choice import Choice, Chooser
-from dunlinnotch.coordination.limits import Ticket, TicketState, WaitQueue
+from dunlinnotch.coordination.limits import Grant, Ticket, TicketState, WaitQueue
 from dunlinnotch.coordination.retries import RetryBudget
 
 if TYPE_CHECKING:
@@ -125,12 +125,12 @@
             self._queue.leave(ticket)
             return self._queue.expected_wait(ticket.rank)
 
-    def again(self, *, exclude: Collection[Address], repeatable: bool) -> Choice | None:
+    def again(self, *, exclude: Collection[Address], kind: str, repeatable: bool) -> Grant | None:
         """Choose another target for a call that may be retried.
 
         Returns
         -------
-        Choice or None
+        Grant or None
             ``None`` if the retry budget is spent or no other target is left.
         """
         with self._lock:
@@ -138,8 +138,7 @@
             choice = self._chooser.choose(now, exclude=exclude, trial_allowed=repeatable)
             if choice is None or not self._retries.take():
                 return None
-            self._begin(choice, now)
-            return choice
+            return self._begin(choice, kind, now)
 
     def heard(self, target: TargetRecord, report: LoadReport) -> None:
         """Take in what a target said of itself."""
@@ -151,25 +150,26 @@
             if report.cold:
                 target.begin_warm_up(now, self._chooser.warm_up_s)
 
-    def finish(
-        self, target: TargetRecord, *, started: Seconds, failed: bool, counted: bool = True
-    ) -> None:
+    def finish(self, grant: Grant, *, failed: bool, counted: bool = True) -> None:
         """End an attempt and let waiting calls go.
 
         Parameters
         ----------
-        target : TargetRecord
-        started : float
-            When the attempt began, in monotonic seconds.
+        grant : Grant
         failed : bool
         counted : bool, default True
             Whether the attempt says anything of the target's speed or errors.
         """
         with self._lock:
-            now = self._clock()
             self._own -= 1
-            took = now - started if counted else None
-            self._chooser.finish(target, now, took=took, failed=failed)
+            self._chooser.finish(
+                grant.choice.target,
+                grant.flight,
+                self._clock(),
+                kind=grant.kind,
+                failed=failed,
+                counted=counted,
+            )
             self._pump()
 
     def usable(self) -> bool:
@@ -223,9 +223,9 @@
         for address in gone:
             del self._records[address]
 
-    def _begin(self, choice: Choice, now: Seconds) -> None:
+    def _begin(self, choice: Choice, kind: str, now: Seconds) -> Grant:
         self._own += 1
-        self._chooser.begin(choice.target, now)
+        return Grant(choice, self._chooser.begin(choice.target, now, kind=kind), kind)
 
     def _pump(self) -> None:
         now = self._clock()
@@ -233,8 +233,7 @@
             choice = self._chooser.choose(now, trial_allowed=ticket.repeatable)
             if choice is None or not self._open(choice, now):
                 return
-            self._begin(choice, now)
-            self._queue.grant(ticket, choice, now)
+            self._queue.grant(ticket, self._begin(choice, ticket.kind, now), now)
         self._queue.idle()
 
     def _open(self, choice: Choice, now: Seconds) -> bool:
--- a/dunlinnotch/coordination/router.py
+++ b/dunlinnotch/coordination/router.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     from dunlinnotch.coordination.choice import Choice
     from dunlinnotch.coordination.gate import WorkGate
+    from dunlinnotch.coordination.limits import Grant
     from dunlinnotch.coordination.once import OnceGuard
     from dunlinnotch.coordination.pool import ServicePool
     from dunlinnotch.coordination.settings import SettingsHolder
@@ -192,29 +193,30 @@
         pool: ServicePool,
         settings: Settings,
     ) -> CallResult:
-        choice = self._wait_for_target(call, progress, pool, settings)
-        if isinstance(choice, CallResult):
-            return choice
+        grant = self._wait_for_target(call, progress, pool, settings)
+        if isinstance(grant, CallResult):
+            return grant
         while True:
-            self._log_choice(call, choice, progress)
-            progress.tried.append(choice.target.address)
-            started = self._clock()
-            result = self._attempt(call, body, watch, choice, settings)
+            self._log_choice(call, grant.choice, progress)
+            progress.tried.append(grant.choice.target.address)
+            result = self._attempt(call, body, watch, grant, settings)
             if isinstance(result, Answered):
-                ended = self._relay(call, reply, choice, result, pool, started, settings)
+                ended = self._relay(reply, grant, result, pool)
             else:
-                ended = self._not_answered(result, choice, pool, started)
+                ended = self._not_answered(result, grant, pool)
             self._observer.attempt_ended(result, retry=len(progress.tried) > 1)
             if not self._may_retry(call, body, ended, settings, progress):
                 return ended
-            again = pool.again(exclude=progress.tried, repeatable=settings.repeatable)
+            again = pool.again(
+                exclude=progress.tried, kind=call.kind, repeatable=settings.repeatable
+            )
             if again is None:
                 return ended
-            choice = again
+            grant = again
 
     def _wait_for_target(
         self, call: Call, progress: _Progress, pool: ServicePool, settings: Settings
-    ) -> Choice | CallResult:
+    ) -> Grant | CallResult:
         if not pool.usable():
             return _refused(
                 Reason.NO_TARGET, "no target of the service takes new work", _UNAVAILABLE
@@ -236,17 +238,17 @@
             granted.wait(max(0.0, ticket.give_up - self._clock()))
             come_back = pool.give_up(ticket)
         progress.waited = self._clock() - now
-        if ticket.choice is None:
+        if ticket.grant is None:
             wait = max(come_back or 0.0, _RETRY_AFTER_S)
             return _refused(Reason.QUEUE_FULL, "all targets are full", _UNAVAILABLE, wait)
-        return ticket.choice
+        return ticket.grant
 
     def _attempt(
         self,
         call: Call,
         body: RequestBody,
         watch: CallerWatch,
-        choice: Choice,
+        grant: Grant,
         settings: Settings,
     ) -> AttemptResult:
         if self._clock() >= call.deadline:
@@ -254,21 +256,15 @@
         if watch.gone():
             return NotSent(Reason.CALLER_GONE, "the caller left before its request was sent")
         return self._transport.attempt(
-            call, choice.target.address, body, watch, fresh=not settings.repeatable
+            call, grant.choice.target.address, body, watch, fresh=not settings.repeatable
         )
 
     def _relay(
-        self,
-        call: Call,
-        reply: ReplySink,
-        choice: Choice,
-        answered: Answered,
-        pool: ServicePool,
-        started: Seconds,
-        settings: Settings,
+        self, reply: ReplySink, grant: Grant, answered: Answered, pool: ServicePool
     ) -> CallResult:
         """Pass an answer to the caller, to its last byte or not cleanly at all."""
-        pool.heard(choice.target, answered.report)
+        target = grant.choice.target
+        pool.heard(target, answered.report)
         ending = _Ending.FAILED if answered.head.status >= _SERVER_ERROR else _Ending.WELL
         whole = False
         begun = False
@@ -278,7 +274,7 @@
             if length is not None and length <= _READ_FIRST:
                 chunks = iter([b"".join(chunks)])
             begun = True
-            reply.begin(answered.head, target=choice.target.address)
+            reply.begin(answered.head, target=target.address)
             for chunk in chunks:
                 reply.send(chunk)
             whole = True
@@ -294,24 +290,20 @@
             return CallResult(outcome, 0, Reason.CALLER_GONE, "the caller left", begun=True)
         finally:
             answered.body.close(whole=whole)
-            self._finish(pool, choice, started, ending)
+            self._finish(pool, grant, ending)
 
     def _not_answered(
-        self,
-        result: NotSent | Refused | Broken,
-        choice: Choice,
-        pool: ServicePool,
-        started: Seconds,
+        self, result: NotSent | Refused | Broken, grant: Grant, pool: ServicePool
     ) -> CallResult:
         if isinstance(result, Refused):
-            pool.heard(choice.target, result.report)
-            self._finish(pool, choice, started, _Ending.DECLINED)
+            pool.heard(grant.choice.target, result.report)
+            self._finish(pool, grant, _Ending.DECLINED)
             detail = f"the target refused: {result.mark}"
             return _refused(Reason.TARGET_REFUSED, detail, _UNAVAILABLE)
         blameless = result.reason in (Reason.CALLER_GONE, Reason.BODY_BROKEN) or (
             isinstance(result, NotSent) and result.reason is Reason.DEADLINE_EXPIRED
         )
-        self._finish(pool, choice, started, _Ending.DECLINED if blameless else _Ending.FAILED)
+        self._finish(pool, grant, _Ending.DECLINED if blameless else _Ending.FAILED)
         late = result.reason is Reason.DEADLINE_EXPIRED
         if isinstance(result, Broken):
             status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
@@ -320,13 +312,9 @@
             return _refused(result.reason, result.detail, _BAD_REQUEST)
         return _refused(result.reason, result.detail, _GATEWAY_TIMEOUT if late else _UNAVAILABLE)
 
-    def _finish(self, pool: ServicePool, choice: Choice, started: Seconds, ending: _Ending) -> None:
-        pool.finish(
-            choice.target,
-            started=started,
-            failed=ending is _Ending.FAILED,
-            counted=ending is not _Ending.DECLINED,
-        )
+    @staticmethod
+    def _finish(pool: ServicePool, grant: Grant, ending: _Ending) -> None:
+        pool.finish(grant, failed=ending is _Ending.FAILED, counted=ending is not _Ending.DECLINED)
 
     def _may_retry(
         self,
--- a/dunlinnotch/state/targets.py
+++ b/dunlinnotch/state/targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -17,6 +17,24 @@
 _ERROR_FADE_S = 0.5
 #: Share of its slots that a wholly cold target is trusted with.
 _COLD_SHARE = 0.2
+#: Load charged for an overdue call, as a share of the target's slots, at most.
+_OVERDUE_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """One call of this box at a target.
+
+    Parameters
+    ----------
+    began : float
+        When it was sent, in monotonic seconds.
+    expected : float
+        Seconds that a call of its kind has taken of late, on any target.
+    """
+
+    began: Seconds
+    expected: Seconds
 
 
 @dataclass(slots=True)
@@ -34,7 +52,7 @@
 
     Notes
     -----
-    ``own`` is exact.  ``others`` comes from the target's own word on its last
+    ``flights`` is exact.  ``others`` comes from the target's own word on its last
     answer and is stale by the time it is read; :meth:`occupancy` ages it
     back to the mean of all targets.
     """
@@ -43,7 +61,7 @@
     place: str
     slots: int
     sharers: float = 1.0
-    own: int = 0
+    flights: list[Flight] = field(default_factory=list)
     others: float = 0.0
     reported_at: Seconds = -math.inf
     doubt: float = 0.0
@@ -59,6 +77,11 @@
     warm_up: Seconds = 0.0
     last_used: Seconds = -math.inf
 
+    @property
+    def own(self) -> int:
+        """Calls of this box that are in flight at the target."""
+        return len(self.flights)
+
     def occupancy(self, now: Seconds, *, mean_others: float, fade: Seconds) -> float:
         """Return the calls thought to be in flight at the target.
 
@@ -75,7 +98,19 @@
         else:
             weight = math.exp(-(now - self.reported_at) / fade)
             others = mean_others + (self.others - mean_others) * weight
-        return self.own + others + self.charged_errors(now)
+        return self.own + others + self.overdue(now) + self.charged_errors(now)
+
+    def overdue(self, now: Seconds) -> float:
+        """Return the load charged for the call that is most overdue, in calls.
+
+        A target that has turned slow reports rarely, so its last report
+        flatters it; its unanswered calls tell sooner.
+        """
+        worst = 0.0
+        for flight in self.flights:
+            late = (now - flight.began) / flight.expected - 1.0
+            worst = max(worst, late)
+        return min(worst, self.slots * _OVERDUE_SHARE)
 
     def charged_errors(self, now: Seconds) -> float:
         """Return the load charged for recent errors, in calls."""
