Limit calls by the targets' own load; queue by rank and share

Tests found three more faults: a target that failed once on an idle service was never called again, since its charge never faded to nothing; the pace of the queue started from 0, so the first callers were not refused; charges for overdue calls closed the queue when all targets were slow alike. Change: floor of three quarters; queue_ms 250; charges below half a call are forgotten; the queue opens by calls in flight, without charges; occupancies are compared to a tenth of a call, so idle targets tie.

--- a/dunlinnotch/coordination/choice.py
+++ b/dunlinnotch/coordination/choice.py
@@ -145,6 +145,10 @@
         occupancy = target.occupancy(now, mean_others=mean, fade=self._answer_time)
         return occupancy / target.capacity(now)
 
+    def in_flight(self, target: TargetRecord, now: Seconds) -> float:
+        """Return the calls of all boxes thought to be in flight at ``target``."""
+        return target.in_flight(now, mean_others=self._mean_now(now), fade=self._answer_time)
+
     def choose(
         self,
         now: Seconds,
--- a/dunlinnotch/coordination/limits.py
+++ b/dunlinnotch/coordination/limits.py
@@ -93,7 +93,7 @@
         self._kinds: dict[str, _KindQueue] = {}
         self._waiting = 0
         self._granted = 0
-        self._gap: Seconds = 0.0
+        self._gap: Seconds | None = None
         self._last_grant: Seconds | None = None
 
     def __len__(self) -> int:
@@ -137,7 +137,7 @@
     def expected_wait(self, rank: int) -> Seconds:
         """Return the time that a new call of ``rank`` will wait, from the pace of late."""
         ahead = sum(len(q.tickets) for q in self._kinds.values() if q.rank <= rank)
-        return ahead * self._gap
+        return ahead * (self._gap or 0.0)
 
     def idle(self) -> None:
         """Forget the pace once nobody waits."""
@@ -145,7 +145,8 @@
 
     def _note_grant(self, now: Seconds) -> None:
         if self._last_grant is not None:
-            self._gap += _GAIN * (now - self._last_grant - self._gap)
+            gap = now - self._last_grant
+            self._gap = gap if self._gap is None else self._gap + _GAIN * (gap - self._gap)
         self._last_grant = now
 
     def _least_turn(self, rank: int) -> float:
--- a/dunlinnotch/coordination/pool.py
+++ b/dunlinnotch/coordination/pool.py
@@ -19,7 +19,7 @@
     from dunlinnotch.types import Address, Clock, Seconds
 
 #: Share of an even split of all slots that a box may always use.
-_FLOOR_SHARE = 0.25
+_FLOOR_SHARE = 0.75
 
 
 class ServicePool:
@@ -253,5 +253,7 @@
         """Return whether the box may send one more call to the target chosen."""
         if choice.reason in ("trial", "last-resort") or self._own < self._floor:
             return True
-        capacity = choice.target.capacity(now)
-        return choice.score * capacity < capacity + self._target_queue
+        # Not the score: charges for overdue calls and errors say which target is
+        # worse than others, not that a slot is taken.
+        in_flight = self._chooser.in_flight(choice.target, now)
+        return in_flight < choice.target.capacity(now) + self._target_queue
--- a/dunlinnotch/standins/target.py
+++ b/dunlinnotch/standins/target.py
@@ -31,6 +31,9 @@
 MARK = "X-Mark"
 #: Bytes of filler that a caller asks for in the answer.
 FILLER = "X-Filler"
+#: Bytes that a caller asks for as a stream, in place of the usual answer.
+STREAM = "X-Stream"
+_PART = 64 * 1024
 
 
 @_codec.wire
@@ -245,6 +248,13 @@
         call_id = Header(http.CALL_ID, exchange.header(http.CALL_ID) or "")
         headers = [JSON, call_id, *self._headers(besides=1)]
         body = _codec.to_json(echo)
+        stream = int(exchange.header(STREAM) or "0")
+        if stream:
+            exchange.begin(200, headers, length=None)
+            for _ in range(stream // _PART):
+                exchange.send(b"x" * _PART)
+            exchange.finish()
+            return
         if faults.cut > 0:
             self.faults = replace(faults, cut=faults.cut - 1)
             exchange.begin(200, headers, length=len(body))
--- a/dunlinnotch/state/schema.py
+++ b/dunlinnotch/state/schema.py
@@ -159,7 +159,7 @@
         json_schema_extra=_unit("ms"),
     )
     queue_ms: float = Field(
-        1000.0,
+        250.0,
         ge=0,
         le=600000,
         description="Longest wait for a slot before a call is refused as not run.",
--- a/dunlinnotch/state/targets.py
+++ b/dunlinnotch/state/targets.py
@@ -15,6 +15,10 @@
 DOUBT_LIMIT = 0.35
 #: Time constant, in seconds, over which the load charged for errors fades.
 _ERROR_FADE_S = 0.5
+#: Differences below a tenth of a call are noise; without them, idle targets tie and share.
+_OCCUPANCY_DIGITS = 1
+#: Load for errors below which they are forgotten, in calls.
+_ERROR_LEAST = 0.5
 #: Share of its slots that a wholly cold target is trusted with.
 _COLD_SHARE = 0.2
 #: Load charged for an overdue call, as a share of the target's slots, at most.
@@ -82,8 +86,8 @@
         """Calls of this box that are in flight at the target."""
         return len(self.flights)
 
-    def occupancy(self, now: Seconds, *, mean_others: float, fade: Seconds) -> float:
-        """Return the calls thought to be in flight at the target.
+    def in_flight(self, now: Seconds, *, mean_others: float, fade: Seconds) -> float:
+        """Return the calls of all boxes thought to be in flight at the target.
 
         Parameters
         ----------
@@ -93,17 +97,23 @@
         fade : float
             Time constant, in seconds, at which a report loses its worth.
         """
+        own = len(self.flights)
         if self.doubt > DOUBT_LIMIT:
-            others = max(mean_others, self.own * (self.sharers - 1.0))
-        else:
-            weight = math.exp(-(now - self.reported_at) / fade)
-            others = mean_others + (self.others - mean_others) * weight
-        known = len(self.flights) + others
+            return own + max(mean_others, own * (self.sharers - 1.0))
+        weight = math.exp(-(now - self.reported_at) / fade)
+        return own + mean_others + (self.others - mean_others) * weight
+
+    def occupancy(self, now: Seconds, *, mean_others: float, fade: Seconds) -> float:
+        """Return the calls in flight plus what overdue calls and errors are charged.
+
+        Parameters are those of :meth:`in_flight`.
+        """
+        known = self.in_flight(now, mean_others=mean_others, fade=fade)
         if self.flights:
             known += self.overdue(now)
         if self.error_load:
             known += self.charged_errors(now)
-        return known
+        return round(known, _OCCUPANCY_DIGITS)
 
     def overdue(self, now: Seconds) -> float:
         """Return the load charged for the call that is most overdue, in calls.
@@ -119,7 +129,12 @@
 
     def charged_errors(self, now: Seconds) -> float:
         """Return the load charged for recent errors, in calls."""
-        return self.error_load * math.exp(-(now - self.error_at) / _ERROR_FADE_S)
+        charged = self.error_load * math.exp(-(now - self.error_at) / _ERROR_FADE_S)
+        if charged < _ERROR_LEAST:
+            # Or else an idle service would never call the target again.
+            self.error_load = 0.0
+            return 0.0
+        return charged
 
     def capacity(self, now: Seconds) -> float:
         """Return the slots the target is trusted with; fewer while it is cold."""
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -2,15 +2,21 @@
 
 import json
 import signal
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import pytest
 
-from demo.fleet import Fleet, kind_changes, place_changes, wait_until
+from demo.fleet import wait_until
+from dunlinnotch.protocol.answers import AddressEntry
 from dunlinnotch.protocol.outcome import Outcome
 from dunlinnotch.standins.target import TargetFaults
 from dunlinnotch.state.tree import Change
 from dunlinnotch.transport.caller import CallerClient, Request
+from dunlinnotch.transport.operator import OperatorClient
 
+HEAD = b"GET / HTTP/1.1\r\nHost: x\r\nDunlinnotch-Service: holdings\r\nDunlinnotch-Kind: lookup\r\n"
 LOOKUP = Request("holdings", "lookup", headers={"X-Mark": "m"}, deadline_s=5.0)
 LOAN = Request(
     "holdings",
@@ -23,39 +29,12 @@
 )
 
 
-@pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    with Fleet(tmp_path_factory.mktemp("fleet")) as fleet:
-        fleet.start_platform()
-        targets = fleet.start_targets(2)
-        fleet.start_boxes({"box-1": "hall-a", "box-2": "hall-b"})
-        fleet.wait_met(2)
-        fleet.edit(
-            "box-1",
-            Change("/", "boxes_max", "2"),
-            *place_changes("hall-a", "holdings", targets),
-            *kind_changes("holdings", "lookup", repeatable="yes"),
-            *kind_changes("holdings", "loan", repeatable="no"),
-        )
-        yield fleet
-
-
 @pytest.fixture
 def client(fleet):
     boxes = [box.caller for box in fleet.boxes.values()]
     return CallerClient(boxes, caller="branch-1", place="hall-a")
 
 
-@pytest.fixture
-def faults(fleet):
-    def put(fault):
-        for index in range(len(fleet.targets)):
-            fleet.set_target(index, fault)
-
-    yield put
-    put(TargetFaults())
-
-
 def runs(fleet, mark):
     return sum(fleet.report(i).runs.get(mark, 0) for i in range(len(fleet.targets)))
 
@@ -152,14 +131,75 @@
         assert json.loads(result.data)["mark"] == f"longer-{number}"
 
 
-def test_drained_box_ends_by_itself(fleet):
-    box = fleet.boxes["box-2"]
+def test_drained_box_ends_by_itself_and_cuts_no_call(fleet, faults):
+    fleet.start_boxes({"box-3": "hall-b"})
     fleet.edit("box-1", Change("/", "keep_s", "0.1"))
-    box.process.signal(signal.SIGTERM)
-    wait_until(lambda: box.process.popen.poll() is not None, what="box-2 has ended")
+    box = fleet.boxes.pop("box-3")
+    with ThreadPoolExecutor(1) as pool:
+        faults(TargetFaults(late_s=1.0))
+        entry = AddressEntry("box-3", "hall-b", box.caller, "")
+        client = CallerClient([box.caller], caller="x")
+        late = pool.submit(client.send, LOOKUP, entry, None)
+        wait_until(lambda: OperatorClient([box.operator]).status().in_flight, what="the call")
+        box.process.signal(signal.SIGTERM)
+        assert late.result().outcome is Outcome.ANSWERED
+    wait_until(lambda: box.process.popen.poll() is not None, what="box-3 has ended")
     assert box.process.popen.returncode == 0
     answer = CallerClient([fleet.boxes["box-1"].caller], caller="x").addresses()
-    assert [entry.box for entry in answer.addresses] == ["box-1"]
+    assert "box-3" not in [entry.box for entry in answer.addresses]
+
+
+def test_caller_that_leaves_cancels_its_call_at_the_target(fleet, faults):
+    faults(TargetFaults(late_s=30.0))
+    before = cancelled(fleet)
+    host, _, port = fleet.boxes["box-1"].caller.rpartition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(HEAD + b"X-Mark: leaves\r\n\r\n")
+        wait_until(lambda: runs(fleet, "leaves"), what="the call runs")
+    wait_until(lambda: cancelled(fleet) > before, what="the call is cancelled")
+
+
+def test_call_past_its_deadline_is_answered_at_once_and_cancelled(fleet, client, faults):
+    faults(TargetFaults(late_s=30.0))
+    before = cancelled(fleet)
+    result = client.call(Request("holdings", "lookup", deadline_s=0.2))
+    assert (result.outcome, result.status) == (Outcome.UNKNOWN, 504)
+    assert result.reason == "deadline-expired"
+    wait_until(lambda: cancelled(fleet) > before, what="the call is cancelled")
+
+
+SIZE = 200 * 1024 * 1024
+PART = b"x" * (64 * 1024)
+
+
+def resident(fleet, name):
+    """Return the most memory that a box has had resident, in bytes."""
+    pid = fleet.boxes[name].process.popen.pid
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.split("VmHWM:")[1].split()[0]) * 1024
+
+
+def test_large_bodies_stream_both_ways_in_bounded_memory(fleet):
+    before = resident(fleet, "box-1")
+    box = f"http://{fleet.boxes['box-1'].caller}"
+    headers = {"Dunlinnotch-Service": "holdings", "Dunlinnotch-Kind": "lookup"}
+    sent = fleet.http.request(
+        "POST",
+        f"{box}/upload",
+        body=(PART for _ in range(SIZE // len(PART))),
+        headers={**headers, "Content-Length": str(SIZE)},
+        timeout=60.0,
+    )
+    assert json.loads(sent.data)["size"] == SIZE
+    got = fleet.http.request(
+        "GET", f"{box}/", headers={**headers, "X-Stream": str(SIZE)}, preload_content=False
+    )
+    assert sum(len(part) for part in got.stream(len(PART))) == SIZE
+    assert resident(fleet, "box-1") - before < 32 * 1024 * 1024
+
+
+def cancelled(fleet):
+    return sum(fleet.report(i).cancelled for i in range(len(fleet.targets)))
 
 
 def _fields(request):
