--- a/dunlinnotch/coordination/steering.py
+++ b/dunlinnotch/coordination/steering.py
@@ -19,7 +19,7 @@
 #: Addresses in one answer.
 ADDRESSES = 3
 #: A box with more than this share above the mean load is put last.
-_LOAD_BOUND = 1.5
+_LOAD_BOUND = 1.25
 #: Calls above the mean that are always let pass.
 _LOAD_SLACK = 4.0
 #: Answers are kept for a time that varies by this share, so that they don't lapse at once.
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,71 @@
+import random
+
+import pytest
+
+from dunlinnotch.coordination.membership import Membership
+from dunlinnotch.coordination.settings import SettingsHolder
+from dunlinnotch.coordination.steering import Steering
+from dunlinnotch.protocol.answers import parse_once_key
+from dunlinnotch.protocol.peers import LinkState, Sync
+from dunlinnotch.state.schema import RunState
+from dunlinnotch.state.tree import Change, Edit, SettingsTree
+from tests import FakeClock, box_row
+
+
+def answer(rows, *, tree=None, caller="branch-1", place="hall-a"):
+    clock = FakeClock()
+    own = box_row("own", state=RunState.DRAINING)
+    members = Membership(own, holder=SettingsHolder(), clock=clock)
+    members.take(Sync("x", 1, 0, None, tuple(rows)), LinkState())
+    steering = Steering(members, rng=random.Random(1))
+    return steering.answer(tree or SettingsTree(), caller=caller, place=place)
+
+
+def boxes(found):
+    return [entry.box for entry in found.addresses]
+
+
+ROWS = [box_row(f"box-{n}", place="hall-a" if n < 4 else "hall-b") for n in range(8)]
+
+
+def test_own_place_comes_first_and_the_second_address_is_elsewhere():
+    places = [entry.place for entry in answer(ROWS).addresses]
+    assert places == ["hall-a", "hall-b", "hall-a"]
+
+
+def test_caller_stays_put_when_another_box_goes():
+    first = boxes(answer(ROWS))[0]
+    others = [row for row in ROWS if row.name != first]
+    assert boxes(answer([*others[1:], *[r for r in ROWS if r.name == first]]))[0] == first
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        Change("box:box-0", "state", "draining"),
+        Change("hall-a", "state", "stopped"),
+        None,
+    ],
+)
+def test_box_that_drains_or_whose_place_is_stopped_is_left_out(change):
+    rows = [box_row("box-0", state=RunState.DRAINING if change is None else RunState.RUNNING)]
+    tree = SettingsTree().apply(Edit("a", 0, "x", (change,), 1)) if change else None
+    assert boxes(answer(rows, tree=tree)) == []
+
+
+def test_overloaded_box_is_put_last():
+    first = boxes(answer(ROWS))[0]
+    loaded = [box_row(r.name, place=r.place, in_flight=100 * (r.name == first)) for r in ROWS]
+    assert boxes(answer(loaded))[0] != first
+
+
+def test_stem_names_the_box_its_incarnation_and_its_own_time():
+    row = box_row("box-1", incarnation=77, tick=12.5)
+    entry = answer([row]).addresses[0]
+    key = parse_once_key(entry.once_stem + "loan-1")
+    assert (key.box, key.incarnation, key.minted_ms, key.suffix) == ("box-1", 77, 12500, "loan-1")
+
+
+def test_answers_lapse_at_different_times():
+    kept = {answer(ROWS, caller=f"c{n}").keep_s for n in range(5)}
+    assert all(8.0 <= k <= 10.0 for k in kept)
