Prove the seven promises by a fault matrix; probe on leased seats

Cause: nothing showed that the promises hold under faults. Building the matrix found: (1) a box that had drained failed in its maintenance, since it is no longer among the live boxes (KeyError); (2) a box without a probe seat learnt only from its own refused call that a target leaves, so leaving targets were sent new work long after another box knew; (3) the share of a budget held only while at most boxes_max boxes run, and replacements overlap. Ruled out: probing more to learn of leaving targets (costs slots); dividing by the boxes now known (lists lag). Change: all coordination of a box is joined in one core without sockets, which daemon and tests use; rows carry what targets told the box; probing needs one of boxes_max seats, leased in the table; matrix, mutants, state machine, recovery tests and tests with real processes.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,10 @@
 
 test: check
 	$(BIN)/python -m pytest
+
+.PHONY: matrix mutants pages
+matrix: .venv/.ready
+	$(BIN)/python -m tests.matrix
+
+mutants: .venv/.ready
+	$(BIN)/python -m tests.mutants
--- a/dunlinnotch/config.py
+++ b/dunlinnotch/config.py
@@ -39,6 +39,9 @@
     poll_ms: float = Field(
         500, ge=50, le=60000, description="Time between reads of the table by a reader, ms."
     )
+    lease_s: float = Field(
+        300, ge=5, le=86400, description="Length of the lease of a probe seat, s."
+    )
     readers: int = Field(
         3, ge=1, le=100, description="Boxes of each place that read the table at poll_ms."
     )
--- a/dunlinnotch/coordination/directory.py
+++ b/dunlinnotch/coordination/directory.py
@@ -18,7 +18,7 @@
 
     from dunlinnotch.state.boxes import BoxRow
     from dunlinnotch.state.tree import SettingsTree
-    from dunlinnotch.types import Clock
+    from dunlinnotch.types import Address, Clock
 
 
 @dataclass(slots=True)
@@ -51,6 +51,7 @@
         self._clock = clock
         self._rng = rng
         self._pools: dict[str, ServicePool] = {}
+        self._limits: dict[Address, int] = {}
         self._lock = threading.Lock()
         self.some_wait = threading.Event()
 
@@ -58,6 +59,10 @@
         """Return the pool, or None if the service has no targets anywhere."""
         return self._pools.get(service)
 
+    def connection_limit(self, target: Address) -> int:
+        """Return the connections that this box may have to a target: its fixed share."""
+        return self._limits.get(target, 1)
+
     def pools(self) -> list[ServicePool]:
         """Return all pools."""
         return list(self._pools.values())
@@ -73,9 +78,13 @@
         """
         with self._lock:
             plans: dict[str, _ServicePlan] = {}
+            limits: dict[Address, int] = {}
             for place, service in tree.service_paths():
                 plan = plans.setdefault(service, _ServicePlan())
                 self._plan_place(plan, tree, place, service, boxes)
+                settings = tree.effective(f"{place}/{service}")
+                share = max(1, settings.connections // settings.boxes_max)
+                limits.update(dict.fromkeys(settings.targets, share))
             demand = _demand(boxes)
             pools = dict(self._pools)
             for service, plan in plans.items():
@@ -89,6 +98,7 @@
                     shares=place_shares(self._place, weights=plan.weights, demand=demand),
                     settings=tree.effective(f"{self._place}/{service}"),
                 )
+            self._limits = limits
             self._pools = {service: pools[service] for service in plans}
 
     def _plan_place(
@@ -107,7 +117,7 @@
         plan.weights[place] = settings.weight
         group = [row.name for row in boxes if row.place == self._place]
         subsets = assign_subsets(group, running, settings.subset)
-        for address in sorted(subsets[self._box]):
+        for address in sorted(subsets.get(self._box, ())):
             sharers = sum(address in subset for subset in subsets.values())
             plan.targets.append(TargetRecord(address, place, settings.slots, float(sharers)))
 
--- a/dunlinnotch/coordination/drain.py
+++ b/dunlinnotch/coordination/drain.py
@@ -19,9 +19,6 @@
     from dunlinnotch.coordination.membership import Membership
     from dunlinnotch.types import Clock, Seconds
 
-#: How often the drain looks whether it was called off, in seconds.
-_LOOK_S = 0.05
-
 _log = logging.getLogger(__name__)
 
 
@@ -40,6 +37,10 @@
     gate : WorkGate
     front : Front
     clock : callable
+
+    Notes
+    -----
+    :meth:`advance` is to be called every few dozen milliseconds.
     """
 
     def __init__(
@@ -51,8 +52,7 @@
         self._clock = clock
         self._phase = DrainPhase.NONE
         self._answers_until: Seconds = 0.0
-        self._resume = threading.Event()
-        self.done = threading.Event()
+        self._lock = threading.Lock()
 
     @property
     def phase(self) -> DrainPhase:
@@ -70,35 +70,35 @@
         Parameters
         ----------
         longest_answer : float
-            Seconds for which an answer that names this box may be kept,
-            counted from when all peers know of the drain.
+            Seconds for which a caller may still come with an answer that
+            names this box.
         """
-        if self._phase is not DrainPhase.NONE:
-            return
-        self._resume.clear()
-        self._phase = DrainPhase.ANSWERS
-        self._answers_until = self._clock() + longest_answer
-        self._membership.refresh_own(state=RunState.DRAINING)
+        with self._lock:
+            if self._phase is not DrainPhase.NONE:
+                return
+            self._phase = DrainPhase.ANSWERS
+            self._answers_until = self._clock() + longest_answer
+            self._membership.refresh_own(state=RunState.DRAINING)
         event(_log, "drain-started", answers_s=longest_answer, calls=self._gate.in_flight)
-        threading.Thread(target=self._run, name="drain", daemon=True).start()
 
     def resume(self) -> None:
-        """Call the drain off while the box still serves."""
-        self._resume.set()
-
-    def _run(self) -> None:
-        while self._clock() < self._answers_until:
-            if self._resume.wait(_LOOK_S):
-                self._phase = DrainPhase.NONE
-                self._membership.refresh_own(state=RunState.RUNNING)
-                event(_log, "drain-called-off")
+        """Call the drain off, if the box still serves."""
+        with self._lock:
+            if self._phase is not DrainPhase.ANSWERS:
                 return
-        self._phase = DrainPhase.CALLS
-        self._front.closing = True
-        event(_log, "drain-answers-lapsed", calls=self._gate.in_flight)
-        while not self._gate.close_if_idle():
-            self._gate.wait_idle(_LOOK_S)
-        self._membership.refresh_own(state=RunState.STOPPED)
-        self._phase = DrainPhase.DONE
-        event(_log, "drain-done")
-        self.done.set()
+            self._phase = DrainPhase.NONE
+            self._membership.refresh_own(state=RunState.RUNNING)
+        event(_log, "drain-called-off")
+
+    def advance(self) -> DrainPhase:
+        """Go on to the next phase if nothing is left to wait for; return the phase."""
+        with self._lock:
+            if self._phase is DrainPhase.ANSWERS and self._clock() >= self._answers_until:
+                self._phase = DrainPhase.CALLS
+                self._front.closing = True
+                event(_log, "drain-answers-lapsed", calls=self._gate.in_flight)
+            if self._phase is DrainPhase.CALLS and self._gate.close_if_idle():
+                self._membership.refresh_own(state=RunState.STOPPED)
+                self._phase = DrainPhase.DONE
+                event(_log, "drain-done")
+            return self._phase
--- a/dunlinnotch/coordination/gate.py
+++ b/dunlinnotch/coordination/gate.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from dunlinnotch.coordination.membership import Membership
     from dunlinnotch.coordination.settings import SettingsHolder
-    from dunlinnotch.types import Clock, Seconds
+    from dunlinnotch.types import Clock
 
 #: When a caller refused by this box may come back to it.
 _RETRY_AFTER_S = 1.0
@@ -32,7 +32,7 @@
         self._membership = membership
         self._holder = holder
         self._clock = clock
-        self._count = threading.Condition()
+        self._count = threading.Lock()
         self._in_flight = 0
         self.closed = False
 
@@ -53,7 +53,6 @@
         """Count a call out."""
         with self._count:
             self._in_flight -= 1
-            self._count.notify_all()
 
     def close_if_idle(self) -> bool:
         """Take no more work if no call is in flight; return whether that is so."""
@@ -61,11 +60,6 @@
             self.closed = self.closed or self._in_flight == 0
             return self.closed
 
-    def wait_idle(self, timeout: Seconds) -> bool:
-        """Wait until no call is in flight; return whether that is so."""
-        with self._count:
-            return self._count.wait_for(lambda: self._in_flight == 0, timeout)
-
     def refusal(self) -> CallResult | None:
         """Return why new work is refused now, or None."""
         if self.closed or self._membership.own.state is RunState.STOPPED:
--- a/dunlinnotch/coordination/membership.py
+++ b/dunlinnotch/coordination/membership.py
@@ -22,7 +22,7 @@
 
     from dunlinnotch.coordination.settings import SettingsHolder
     from dunlinnotch.protocol.platform import ListedBox
-    from dunlinnotch.state.boxes import BoxRow
+    from dunlinnotch.state.boxes import BoxRow, LeavingTarget
     from dunlinnotch.types import Address, Clock, Seconds, Version
 
 #: Edits sent in one turn of a link; more than these go as a whole tree.
@@ -84,22 +84,33 @@
         """The newest row of this box."""
         return self._own
 
-    def refresh_own(self, *, in_flight: int | None = None, state: RunState | None = None) -> BoxRow:
+    def refresh_own(
+        self,
+        *,
+        in_flight: int | None = None,
+        state: RunState | None = None,
+        version: Version | None = None,
+        leaving: tuple[LeavingTarget, ...] | None = None,
+    ) -> BoxRow:
         """Make and return a newer row of this box.
 
         Parameters
         ----------
         in_flight : int, optional
         state : RunState, optional
+        version : int, optional
+            Settings version that has just come into force.
+        leaving : tuple of LeavingTarget, optional
         """
         with self._changed:
             row = self._own
             self._own = replace(
                 row,
                 seq=row.seq + 1,
-                version=self._holder.version,
+                version=self._holder.version if version is None else version,
                 in_flight=row.in_flight if in_flight is None else in_flight,
                 state=state or row.state,
+                leaving=row.leaving if leaving is None else leaving,
                 tick=self._clock(),
             )
             self._changed.notify_all()
--- a/dunlinnotch/coordination/pool.py
+++ b/dunlinnotch/coordination/pool.py
@@ -8,6 +8,7 @@
 from dunlinnotch.coordination.choice import Choice, Chooser
 from dunlinnotch.coordination.limits import Grant, Ticket, TicketState, WaitQueue
 from dunlinnotch.coordination.retries import RetryBudget
+from dunlinnotch.state.boxes import LeavingTarget
 
 if TYPE_CHECKING:
     import random
@@ -163,6 +164,20 @@
             if report.cold:
                 target.begin_warm_up(now, self._chooser.warm_up_s)
 
+    def hear_leaving(self, leaving: Iterable[LeavingTarget]) -> None:
+        """Take in what peers say of targets that leave."""
+        with self._lock:
+            for word in leaving:
+                target = self._records.get(word.address)
+                if target is not None:
+                    target.hear_leaving(word.incarnation)
+
+    def told_leaving(self) -> list[LeavingTarget]:
+        """Return the targets in use that have told this box that they leave."""
+        with self._lock:
+            told = [target for target in self._chooser.targets if target.told_leaving]
+            return [LeavingTarget(target.address, target.incarnation) for target in told]
+
     def finish(self, grant: Grant, *, failed: bool, counted: bool = True) -> None:
         """End an attempt and let waiting calls go.
 
--- a/dunlinnotch/coordination/router.py
+++ b/dunlinnotch/coordination/router.py
@@ -93,7 +93,6 @@
 
     Parameters
     ----------
-    box : str
     place : str
         The place of this box.
     holder : SettingsHolder
@@ -108,7 +107,6 @@
     def __init__(
         self,
         *,
-        box: str,
         place: str,
         holder: SettingsHolder,
         pools: PoolDirectory,
@@ -118,7 +116,6 @@
         observer: CallObserver,
         clock: Clock,
     ) -> None:
-        self._box = box
         self._place = place
         self._holder = holder
         self._pools = pools
--- a/dunlinnotch/daemon/__main__.py
+++ b/dunlinnotch/daemon/__main__.py
@@ -32,8 +32,7 @@
     box = Box(config)
 
     def stop(*_: object) -> None:
-        box.signalled = True
-        threading.Thread(target=box.begin_drain, daemon=True).start()
+        threading.Thread(target=box.stop, daemon=True).start()
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -69,39 +69,39 @@
         exchange.reply(status, [_JSON], _codec.to_json(value))
 
     def _status(self, _query: dict[str, str], _body: bytes) -> Status:
-        box = self._box
-        refusal = box.gate.refusal()
+        core = self._box.core
+        refusal = core.gate.refusal()
         return Status(
-            box=box.box,
-            version=box.holder.version,
-            in_flight=box.gate.in_flight,
-            table_age_s=box.membership.table_age(),
+            box=core.name,
+            version=core.holder.version,
+            in_flight=core.gate.in_flight,
+            table_age_s=core.membership.table_age(),
             refusing=None if refusal is None else refusal.detail,
-            drain=box.drain.status(),
-            links=tuple(box.links.names()),
-            rows=tuple(box.membership.rows()),
+            drain=core.drain.status(),
+            links=tuple(self._box.links.names()),
+            rows=tuple(core.membership.rows()),
         )
 
     def _settings(self, _query: dict[str, str], _body: bytes) -> object:
-        return self._box.holder.tree
+        return self._box.core.holder.tree
 
     def _edit(self, _query: dict[str, str], body: bytes) -> object:
         request = _codec.from_json(EditRequest, body)
-        result = self._box.editor.edit(request.edit, timeout=request.wait_s)
+        result = self._box.core.editor.edit(request.edit, timeout=request.wait_s)
         self._box.links.wake()
         return result
 
     def _explain(self, query: dict[str, str], _body: bytes) -> object:
         path = query.get("path", "/")
         check_path(path)
-        tree = self._box.holder.tree
+        tree = self._box.core.holder.tree
         effective = tree.effective(path).model_dump(mode="json")
         return tuple(
             Explained(name, _text(effective[name]), tree.source(path, name)) for name in FIELD_NAMES
         )
 
     def _targets(self, query: dict[str, str], _body: bytes) -> object:
-        pool = self._box.directory.pool(query.get("service", ""))
+        pool = self._box.core.directory.pool(query.get("service", ""))
         scores = [] if pool is None else pool.scores()
         return tuple(
             TargetNow(
--- a/dunlinnotch/state/boxes.py
+++ b/dunlinnotch/state/boxes.py
@@ -9,6 +9,22 @@
 from dunlinnotch.types import Address, Seconds, Version
 
 
+@wire
+@dataclass(frozen=True, slots=True)
+class LeavingTarget:
+    """A target that has told the box that it leaves.
+
+    Parameters
+    ----------
+    address : str
+    incarnation : str or None
+        The start of the target that leaves; a later start does not.
+    """
+
+    address: Address
+    incarnation: str | None
+
+
 @wire
 @dataclass(frozen=True, slots=True)
 class BoxRow:
@@ -33,6 +49,8 @@
         Calls that the box is serving.
     tick : float
         The box's own monotonic clock, in seconds, when the row was made.
+    leaving : tuple of LeavingTarget
+        What targets have told this box itself; hearsay is not passed on.
     """
 
     name: str
@@ -45,6 +63,7 @@
     version: Version
     in_flight: int
     tick: Seconds
+    leaving: tuple[LeavingTarget, ...] = ()
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/dunlinnotch/state/targets.py
+++ b/dunlinnotch/state/targets.py
@@ -76,6 +76,7 @@
     next_trial: Seconds = -math.inf
     trial_running: bool = False
     leaving: bool = False
+    told_leaving: bool = False
     incarnation: str | None = None
     warm_from: Seconds = -math.inf
     warm_up: Seconds = 0.0
@@ -173,7 +174,7 @@
         self.trial_running = False
 
     def take_state(self, incarnation: str | None, *, leaving: bool) -> None:
-        """Take in whether the target leaves.
+        """Take in the target's own word on whether it leaves.
 
         Leaving is final for one start of a target, whatever a lagging report
         says later; only a target that says it has started anew takes work
@@ -182,11 +183,20 @@
         restarted = incarnation is not None and incarnation != self.incarnation
         if restarted and self.incarnation is not None:
             self.leaving = False
+            self.told_leaving = False
             self.doubt = 0.0
         if incarnation is not None:
             self.incarnation = incarnation
+        self.told_leaving = self.told_leaving or leaving
         self.leaving = self.leaving or leaving
 
+    def hear_leaving(self, incarnation: str | None) -> None:
+        """Take in a peer's word that this start of the target leaves."""
+        if incarnation is not None and self.incarnation not in (None, incarnation):
+            return
+        self.leaving = True
+        self.incarnation = incarnation
+
     def begin_warm_up(self, now: Seconds, duration: Seconds) -> None:
         """Start the ramp of a target that said it is cold."""
         if now >= self.warm_from + self.warm_up:
--- a/dunlinnotch/transport/front.py
+++ b/dunlinnotch/transport/front.py
@@ -43,7 +43,9 @@
 class Service(Protocol):
     """What the front needs of the box."""
 
-    box: str
+    @property
+    def name(self) -> str:
+        """The box's name."""
 
     def route(
         self, call: Call, body: RequestBody, reply: ReplySink, watch: CallerWatch
@@ -96,7 +98,7 @@
         own = (
             Header(http.OUTCOME, Outcome.ANSWERED.value),
             Header(http.CALL_ID, self._call.call_id),
-            Header(http.BOX, self._service.box),
+            Header(http.BOX, self._service.name),
             Header(http.TARGET, target),
             Header(http.SETTINGS_VERSION, str(self._service.version())),
         )
@@ -221,7 +223,7 @@
 
     def _refusal_headers(self, result: CallResult) -> list[Header]:
         own = (
-            Header(http.BOX, self._service.box),
+            Header(http.BOX, self._service.name),
             Header(http.SETTINGS_VERSION, str(self._service.version())),
         )
         return [_JSON, *http.refusal_headers(result), *own]
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,211 @@
+"""Break each mechanism in turn and show that its proof goes red.
+
+``python -m tests.mutants`` (``make mutants``) exits 0 only if no break goes
+unseen.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import logging
+import sys
+from dataclasses import dataclass, replace
+from unittest import mock
+
+import pytest
+
+from dunlinnotch.coordination import once, probes, seats, settings
+from dunlinnotch.coordination.drain import Drain
+from dunlinnotch.coordination.gate import WorkGate
+from dunlinnotch.coordination.membership import Membership
+from dunlinnotch.coordination.router import Router
+from dunlinnotch.protocol.answers import OnceKey, parse_once_key
+from dunlinnotch.protocol.attempt import Broken
+from dunlinnotch.protocol.outcome import Outcome
+from dunlinnotch.state.ledger import Claim, ClaimStatus, KeyEntry, OnceLedger
+from dunlinnotch.state.targets import TargetRecord
+from dunlinnotch.state.tree import SettingsTree
+from dunlinnotch.transport.targets import ConnectionPools
+from tests.matrix import cells, run
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One mechanism broken.
+
+    Parameters
+    ----------
+    name : str
+    owner : object
+    attribute : str
+    broken : object
+    tests : str, optional
+        A test file that should see it; the fault matrix if left out.
+    """
+
+    name: str
+    owner: object
+    attribute: str
+    broken: object
+    tests: str = ""
+
+
+def _retry_anything(self, call, body, ended, settings, progress):
+    return not ended.begun and ended.outcome is not Outcome.ANSWERED and len(progress.tried) < 3
+
+
+_not_answered = Router._not_answered
+
+
+def _say_not_run(self, result, grant, pool):
+    ended = _not_answered(self, result, grant, pool)
+    return replace(ended, outcome=Outcome.NOT_RUN) if isinstance(result, Broken) else ended
+
+
+def _discard_keeps(self, target, conn):
+    self.give_back(target, conn)
+
+
+def _sound_always(self, idle):
+    return True
+
+
+_poll = settings.SettingsFollower.poll
+
+
+def _follow_blindly(self):
+    row = self._platform.read(settings.HEAD_KEY)
+    version = settings._head_version(row)
+    if version < self._holder.version:
+        tree = self._holder.tree
+        self._holder.tree = SettingsTree(version, tree.nodes, tree.changed, tree.edits[:version])
+        self._holder._on_change(self._holder.tree)
+    return _poll(self)
+
+
+def _drain_at_once(self, *, longest_answer):
+    _start(self, longest_answer=0.0)
+
+
+_start = Drain.start
+
+
+def _never_leaving(self, incarnation, *, leaving):
+    self.leaving = False
+
+
+def _held_for_ever(self):
+    return self.lease is not None
+
+
+def _always_free(self, key, row):
+    return True
+
+
+def _whole_budget(found):
+    return found.probe_rate
+
+
+def _claim_always(self, key, *, minted, window):
+    return Claim(ClaimStatus.RUN, KeyEntry(key, self._clock()))
+
+
+class _Any:
+    """Equal to everything."""
+
+    def __eq__(self, other):
+        return True
+
+    def __hash__(self):
+        return 0
+
+
+def _anybodys_key(text):
+    key = parse_once_key(text)
+    return None if key is None else OnceKey(_Any(), _Any(), key.minted_ms, key.suffix)
+
+
+def _own_word_only(self, version):
+    return tuple(r.name for r in self.live() if r.version < version)
+
+
+def _serve_cut_off(self):
+    return None
+
+
+def _no_conflict(self, edit):
+    return ()
+
+
+MUTANTS = (
+    Mutant("retry a loan after it was sent", Router, "_may_retry", _retry_anything),
+    Mutant("say not run of a broken attempt", Router, "_not_answered", _say_not_run),
+    Mutant(
+        "reuse a connection that timed out",
+        ConnectionPools,
+        "discard",
+        _discard_keeps,
+        "tests/test_targets.py",
+    ),
+    Mutant(
+        "reuse an idle connection that was closed",
+        ConnectionPools,
+        "_sound",
+        _sound_always,
+        "tests/test_targets.py",
+    ),
+    Mutant("accept a lower version", settings.SettingsFollower, "poll", _follow_blindly),
+    Mutant("drain without waiting for callers", Drain, "start", _drain_at_once),
+    Mutant("ignore that a target leaves", TargetRecord, "take_state", _never_leaving),
+    Mutant("skip the expiry of a lease", seats.SeatHolder, "held", _held_for_ever),
+    Mutant("take a seat before its lease lapsed", seats.SeatHolder, "_free", _always_free),
+    Mutant("ignore the share of the budget", probes, "probes_per_second", _whole_budget),
+    Mutant("forget once-keys", OnceLedger, "claim", _claim_always),
+    Mutant(
+        "run a key of another box",
+        once,
+        "parse_once_key",
+        _anybodys_key,
+    ),
+    Mutant("accept without the silent boxes", Membership, "missing", _own_word_only),
+    Mutant(
+        "serve while cut off",
+        WorkGate,
+        "refusal",
+        _serve_cut_off,
+        "tests/test_membership.py",
+    ),
+    Mutant(
+        "overwrite a racing edit", SettingsTree, "conflicts", _no_conflict, "tests/test_settings.py"
+    ),
+)
+
+
+def seen(mutant):
+    """Return what saw the mutant, or None."""
+    with mock.patch.object(mutant.owner, mutant.attribute, mutant.broken):
+        if mutant.tests:
+            with contextlib.redirect_stdout(io.StringIO()):
+                code = pytest.main(["-x", "-p", "no:cacheprovider", mutant.tests])
+            return mutant.tests if code == pytest.ExitCode.TESTS_FAILED else None
+        for cell in cells():
+            wrong, _ = run(cell)
+            if wrong:
+                return f"{cell}: {wrong[0]}"
+    return None
+
+
+def main():
+    """Try each mutant; return 1 if one went unseen."""
+    logging.disable(logging.CRITICAL)
+    unseen = 0
+    for mutant in MUTANTS:
+        by = seen(mutant)
+        unseen += by is None
+        print(f"{'seen  ' if by else 'UNSEEN'} {mutant.name}: {by}", flush=True)
+    return 1 if unseen else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,133 @@
+"""At most once: a state machine of callers, boxes and targets with faults."""
+
+import threading
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
+
+from dunlinnotch.protocol.outcome import Outcome
+from dunlinnotch.state.heads import AnswerHead
+from dunlinnotch.state.ledger import ClaimStatus, KeptAnswer, KeyState, OnceLedger
+from tests import FakeClock
+from tests.matrix import setup
+from tests.world import Request, World
+
+MODES = (
+    "well",
+    "refuse",
+    "gone",
+    "drop-before",
+    "drop-after",
+    "cut",
+    "late",
+    "frozen",
+    "fail",
+)
+
+
+class Callers(RuleBasedStateMachine):
+    """Callers send loans and repeat them, by way of any box, while things fail."""
+
+    requests = Bundle("requests")
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        setup(self.world)
+        self.keys = {}
+
+    @rule(target=requests)
+    def new_loan(self):
+        request = Request(f"m{len(self.world.requests)}", "loan")
+        self.world.requests.append(request)
+        found = self.world.ask()
+        entry = found.addresses[0] if found else None
+        self.keys[request.mark] = entry
+        return request
+
+    @rule(request=requests, box=st.sampled_from(["box-0", "box-1", "own"]))
+    def send(self, request, box):
+        entry = self.keys[request.mark]
+        if entry is not None:
+            where = entry.box if box == "own" else box
+            self.world.send(request, where, entry.once_stem + request.mark)
+
+    @rule(mode=st.sampled_from(MODES), which=st.integers(0, 3))
+    def fault(self, mode, which):
+        target = list(self.world.targets.values())[which]
+        target.thaw()
+        target.mode = mode
+
+    @rule(name=st.sampled_from(["box-0", "box-1"]))
+    def replace_box(self, name):
+        place = "hall-a" if name == "box-0" else "hall-b"
+        self.world.kill(name)
+        self.world.start_box(name, place)
+
+    @rule(
+        name=st.sampled_from(["box-0", "box-1"]), step=st.sampled_from(["send", "await", "answer"])
+    )
+    def kill_in_the_middle(self, name, step):
+        def kill(world, box, _target):
+            world.kill(box)
+
+        if name in self.world.boxes:
+            self.world.at(step, kill)
+
+    @rule(seconds=st.sampled_from([0.5, 5.0, 700.0]))
+    def time_passes(self, seconds):
+        for name, place in (("box-0", "hall-a"), ("box-1", "hall-b")):
+            if name not in self.world.boxes:
+                self.world.start_box(name, place)
+        self.world.tick(seconds)
+
+    @invariant()
+    def no_loan_ran_twice_and_not_run_means_not_run(self):
+        for request in self.world.requests:
+            runs = sum(t.runs[request.mark] for t in self.world.targets.values())
+            held = sum(request.mark in t.held for t in self.world.targets.values())
+            assert runs + held <= 1
+            if request.outcomes and set(request.outcomes) == {Outcome.NOT_RUN}:
+                assert runs + held == 0
+
+
+TestCallers = Callers.TestCase
+TestCallers.settings = settings(max_examples=60, stateful_step_count=25, derandomize=True)
+
+
+def test_twin_that_comes_while_the_first_runs_waits_for_its_answer():
+    ledger = OnceLedger(clock=FakeClock())
+    first = ledger.claim("k", minted=990.0, window=60.0)
+    twin = ledger.claim("k", minted=990.0, window=60.0)
+    assert (first.status, twin.status) == (ClaimStatus.RUN, ClaimStatus.KNOWN)
+    answer = KeptAnswer(AnswerHead(200, "", (), 2), b"ok")
+    threading.Timer(0.05, ledger.answered, (first.entry, answer)).start()
+    assert ledger.wait(twin.entry, 5.0) is KeyState.ANSWERED
+    assert twin.entry.answer.body == b"ok"
+
+
+def test_key_is_forgotten_only_after_it_is_refused():
+    clock = FakeClock()
+    ledger = OnceLedger(clock=clock)
+    ledger.unknown(ledger.claim("k", minted=clock(), window=60.0).entry)
+    clock.advance(59.0)
+    assert ledger.claim("k", minted=1000.0, window=60.0).status is ClaimStatus.KNOWN
+    clock.advance(2.0)
+    assert ledger.claim("k", minted=1000.0, window=60.0).status is ClaimStatus.EXPIRED
+    assert len(ledger) == 0
+
+
+def test_full_ledger_refuses_new_keys_and_forgets_no_old_one():
+    clock = FakeClock()
+    ledger = OnceLedger(clock=clock, keys_max=2)
+    for key in ("a", "b"):
+        ledger.unknown(ledger.claim(key, minted=clock(), window=60.0).entry)
+    assert ledger.claim("c", minted=clock(), window=60.0).status is ClaimStatus.FULL
+    assert ledger.claim("a", minted=clock(), window=60.0).status is ClaimStatus.KNOWN
+
+
+def test_key_from_the_future_of_this_process_is_not_its_own():
+    clock = FakeClock()
+    ledger = OnceLedger(clock=clock)
+    assert ledger.claim("k", minted=clock() + 1, window=60.0).status is ClaimStatus.EXPIRED
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,114 @@
+"""Kill, freeze and cut real processes."""
+
+import signal
+
+import pytest
+
+from demo.fleet import Fleet, kind_changes, place_changes, wait_until
+from dunlinnotch.protocol.outcome import EditStatus, Outcome
+from dunlinnotch.standins.platform import PlatformFaults
+from dunlinnotch.standins.target import TargetFaults
+from dunlinnotch.state.tree import Change
+from dunlinnotch.transport.caller import CallerClient, Request
+
+PEERS = "heartbeat_ms = 50\nrow_ms = 100\nsuspect_ms = 500\nforget_ms = 1000\n"
+
+
+@pytest.fixture(scope="module")
+def three(tmp_path_factory):
+    """Three boxes that lose patience soon."""
+    with Fleet(tmp_path_factory.mktemp("three")) as fleet:
+        fleet.start_platform()
+        targets = fleet.start_targets(2)
+        places = {"box-1": "hall-a", "box-2": "hall-b", "box-3": "hall-a"}
+        fleet.start_boxes(places, extra=PEERS)
+        fleet.wait_met(3)
+        fleet.edit(
+            "box-1",
+            Change("/", "cut_off_s", "1"),
+            *place_changes("hall-a", "holdings", targets),
+            *kind_changes("holdings", "lookup", repeatable="yes"),
+            *kind_changes("holdings", "loan", repeatable="no"),
+        )
+        yield fleet
+
+
+def lookup(client):
+    return client.call(Request("holdings", "lookup", deadline_s=5.0))
+
+
+def versions(fleet):
+    return {name: fleet.operator(name).status().version for name in fleet.boxes}
+
+
+def in_force(fleet, version):
+    wait_until(lambda: set(versions(fleet).values()) == {version}, what=f"version {version}")
+
+
+def test_killed_box_is_left_by_its_callers_and_its_successor_is_found(three):
+    client = CallerClient([b.caller for b in three.boxes.values()], caller="c", place="hall-b")
+    assert lookup(client).box == "box-2"
+    three.boxes["box-2"].process.end()
+    assert lookup(client).outcome is Outcome.ANSWERED
+    three.restart_box("box-2")
+    client.forget()
+
+    def back():
+        client.forget()
+        return lookup(client).box == "box-2"
+
+    wait_until(back, what="callers use box-2 again")
+
+
+def test_frozen_box_is_waited_for_and_never_serves_an_old_version_after_it_wakes(three):
+    box = three.boxes["box-3"]
+    box.process.signal(signal.SIGSTOP)
+    result = three.edit("box-1", Change("hall-a", "rank", "3"), wait_s=1.5)
+    assert result.status is EditStatus.PENDING
+    assert result.missing == ("box-3",)
+    box.process.signal(signal.SIGCONT)
+    in_force(three, result.version)
+    direct = CallerClient([box.caller], caller="c")
+    assert lookup(direct).outcome is Outcome.ANSWERED
+
+
+def test_table_outage_stops_nobody_and_a_box_that_starts_learns_from_peers(three):
+    three.set_platform(PlatformFaults(down=True))
+    box = three.boxes["box-3"]
+    box.process.end()
+    three.restart_box("box-3")
+    newest = max(three.operator("box-1").status().version, 1)
+    wait_until(lambda: three.operator("box-3").status().version == newest, what="box-3 learns")
+    refused = three.edit("box-1", Change("hall-a", "rank", "4"), wait_s=0.1)
+    assert refused.status is EditStatus.UNAVAILABLE
+    client = CallerClient([box.caller], caller="c")
+    assert lookup(client).outcome is Outcome.ANSWERED
+    three.set_platform(PlatformFaults())
+    assert three.edit("box-1", Change("hall-a", "rank", "4")).status is EditStatus.ACCEPTED
+
+
+def test_frozen_target_leaves_a_loan_unknown_and_it_runs_at_most_once(three):
+    mark = "frozen-loan"
+    for index in range(2):
+        three.targets[index].process.signal(signal.SIGSTOP)
+    client = CallerClient([b.caller for b in three.boxes.values()], caller="c")
+    entry = client.addresses().addresses[0]
+    request = Request(
+        "holdings", "loan", method="POST", body=b"x", headers={"X-Mark": mark}, deadline_s=0.3
+    )
+    key = entry.once_stem + mark
+    outcomes = [client.send(request, entry, key).outcome for _ in range(3)]
+    for index in range(2):
+        three.targets[index].process.signal(signal.SIGCONT)
+    assert set(outcomes) == {Outcome.UNKNOWN}
+    assert sum(three.report(i).runs.get(mark, 0) for i in range(2)) <= 1
+    assert lookup(client).outcome is Outcome.ANSWERED
+
+
+def test_answer_cut_by_the_target_is_cut_to_the_caller_or_tried_again(three):
+    for index in range(2):
+        three.set_target(index, TargetFaults(cut=1))
+    client = CallerClient([b.caller for b in three.boxes.values()], caller="c")
+    results = [lookup(client) for _ in range(4)]
+    assert all(r.outcome is Outcome.ANSWERED or r.status in (0, 502) for r in results)
+    assert results[-1].outcome is Outcome.ANSWERED
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,156 @@
+"""Boxes replaced, cut and racing, on the same world as the fault matrix."""
+
+import pytest
+
+from dunlinnotch.protocol.outcome import EditStatus, Outcome, Reason
+from dunlinnotch.standins.platform import PlatformFaults
+from dunlinnotch.state.schema import RunState
+from dunlinnotch.state.tree import Change, Edit
+from tests.matrix import check, setup
+from tests.world import CUT_OFF_S, World
+
+
+@pytest.fixture
+def world():
+    world = World()
+    setup(world)
+    return world
+
+
+def rank(world):
+    return {name: core.holder.tree.effective("hall-a").rank for name, core in world.boxes.items()}
+
+
+def settled(world):
+    world.heal()
+    assert check(world) == []
+
+
+def test_boxes_replaced_one_by_one_while_the_table_is_down_keep_settings(world):
+    world.store.set_faults(PlatformFaults(down=True))
+    for number, place in enumerate(("hall-a", "hall-b")):
+        world.start_box(f"new-{number}", place)
+        world.tick()
+        assert world.boxes[f"new-{number}"].holder.version == 1
+        world.kill(f"box-{number}")
+        world.tick()
+    assert world.call("loan").outcomes[-1] is Outcome.ANSWERED
+    settled(world)
+
+
+def test_boxes_replaced_all_at_once_with_the_table_well_read_it(world):
+    for name in list(world.boxes):
+        world.kill(name)
+    world.start_box("new-0", "hall-a")
+    assert world.boxes["new-0"].holder.version == 1
+    assert world.call("lookup").outcomes[-1] is Outcome.ANSWERED
+    settled(world)
+
+
+def test_boxes_replaced_all_at_once_with_the_table_down_refuse_until_it_is_back(world):
+    world.store.set_faults(PlatformFaults(down=True))
+    for name in list(world.boxes):
+        world.kill(name)
+    world.start_box("new-0", "hall-a")
+    world.tick()
+    refusal = world.boxes["new-0"].gate.refusal()
+    assert (refusal.outcome, refusal.reason) == (Outcome.NOT_RUN, Reason.NO_SETTINGS)
+    world.store.set_faults(PlatformFaults())
+    world.tick()
+    assert world.call("lookup").outcomes[-1] is Outcome.ANSWERED
+    settled(world)
+
+
+def test_table_outage_of_an_hour_stops_nobody(world):
+    world.store.set_faults(PlatformFaults(down=True))
+    for _ in range(360):
+        world.tick(10.0)
+        world.sync()
+    assert world.call("loan").outcomes[-1] is Outcome.ANSWERED
+    settled(world)
+
+
+def test_half_of_the_boxes_cut_from_the_table_still_get_edits_from_peers(world):
+    world.cut_from_table.add("box-1")
+    status = world.edit("box-0", Change("hall-a", "rank", "3"))
+    assert status is EditStatus.ACCEPTED
+    assert set(rank(world).values()) == {3}
+    settled(world)
+
+
+def test_box_cut_from_all_stops_in_time_and_no_edit_is_accepted_over_it(world):
+    world.cut.add("box-1")
+    world.cut_from_table.add("box-1")
+    assert world.edit("box-0", Change("hall-a", "rank", "3"), rounds=3) is EditStatus.PENDING
+    for _ in range(int(CUT_OFF_S) + 2):
+        world.tick()
+    assert world.boxes["box-1"].gate.refusal().reason is Reason.CUT_OFF
+    settled(world)
+    assert set(rank(world).values()) == {3}
+
+
+def test_operators_racing_on_one_node_see_a_conflict_and_on_two_both_hold(world):
+    base = {name: core.holder.version for name, core in world.boxes.items()}
+    assert set(base.values()) == {1}
+    first = world.edit("box-0", Change("hall-a", "rank", "3"))
+    stale = world.boxes["box-1"].editor
+
+    def edit(path):
+        return stale.edit(Edit(path, 1, "bob", (Change(path, "rank", "4"),)), timeout=0.0)
+
+    assert first is EditStatus.ACCEPTED
+    assert edit("hall-a").status is EditStatus.CONFLICT
+    assert edit("hall-b").status in (EditStatus.ACCEPTED, EditStatus.PENDING)
+    world.tick()
+    assert set(rank(world).values()) == {3}
+    settled(world)
+
+
+def test_edit_whose_answers_are_all_lost_is_known_by_its_id(world):
+    world.store.set_faults(PlatformFaults(lose_answers=1))
+    key = "an-id"
+    assert world.edit("box-0", Change("hall-a", "rank", "3"), key=key) is EditStatus.ACCEPTED
+    assert world.edit("box-1", Change("hall-a", "rank", "3"), key=key) is EditStatus.ACCEPTED
+    assert world.boxes["box-0"].holder.version == 2
+    settled(world)
+
+
+def test_stopped_place_drains_its_boxes_and_gets_no_new_work(world):
+    assert world.edit("box-0", Change("hall-b", "state", "stopped")) is EditStatus.ACCEPTED
+    world.tick()
+    assert world.boxes["box-1"].membership.own.state is RunState.DRAINING
+    before = {a: sum(t.runs.values()) for a, t in world.targets.items()}
+    for _ in range(20):
+        assert world.call("lookup").outcomes[-1] is Outcome.ANSWERED
+    used = {a for a, t in world.targets.items() if sum(t.runs.values()) > before[a]}
+    assert used <= {"10.0.0.0:80", "10.0.0.1:80"}
+    for _ in range(15):
+        world.tick()
+    assert world.boxes["box-1"].membership.own.state is RunState.STOPPED
+    settled(world)
+
+
+def test_drain_that_is_called_off_lets_the_box_serve_on(world):
+    world.edit("box-1", Change("box:box-1", "state", "draining"))
+    world.tick()
+    assert world.boxes["box-1"].membership.own.state is RunState.DRAINING
+    world.edit("box-0", Change("box:box-1", "state", None))
+    world.tick()
+    assert world.boxes["box-1"].membership.own.state is RunState.RUNNING
+    settled(world)
+
+
+def test_word_of_a_leaving_target_reaches_the_other_boxes(world):
+    target = world.targets["10.0.0.0:80"]
+    target.leaving_since = world.clock()
+    target.mode = "draining"
+    world.start_box("box-2", "hall-a")
+    for _ in range(6):
+        world.call("lookup")
+    assert target.told_at is not None
+    for _ in range(3):
+        world.tick()
+    for core in world.boxes.values():
+        record = core.directory.pool("holdings").find(target.address)
+        assert record is None or record.leaving
+    settled(world)
