--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,87 @@
+"""What a real box spends on control, against boxes: ``python -m benchmarks.control``.
+
+Real daemons with the settings of today and no calls.  Prints processor share,
+memory, bytes sent to peers and reads of the table, for each box.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.hop import cpu_seconds
+from benchmarks.slopes import fit
+from demo.fleet import Fleet, kind_changes, place_changes
+from dunlinnotch.standins.platform import PlatformFaults
+
+PLACES = ("hall-a", "hall-b", "hall-c")
+SIZES = (3, 6, 12, 18, 30)
+_SETTLE_S = 3.0
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    return int(status.split("VmRSS:")[1].split()[0]) / 1024
+
+
+def measure(boxes: int, seconds: float) -> tuple[float, float, float, float]:
+    """Return processor share, MB, bytes a second and table reads a second, for each box."""
+    with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
+        fleet.start_platform()
+        fleet.start_boxes({f"box-{n:02}": PLACES[n % 3] for n in range(boxes)})
+        fleet.wait_met(boxes)
+        targets = [f"127.0.0.1:{port}" for port in range(1, 31)]
+        fleet.edit(
+            "box-00",
+            *place_changes("hall-a", "holdings", targets, probe_rate=0),
+            *kind_changes("holdings", "lookup", repeatable="yes"),
+        )
+        time.sleep(_SETTLE_S)
+        pids = [box.process.popen.pid for box in fleet.boxes.values()]
+        before = [cpu_seconds(pid) for pid in pids]
+        sent = [fleet.operator(name).status().peer_bytes for name in fleet.boxes]
+        reads = _reads(fleet)
+        began = time.monotonic()
+        time.sleep(seconds)
+        took = time.monotonic() - began
+        cpu = [cpu_seconds(pid) - b for pid, b in zip(pids, before, strict=True)]
+        read = _reads(fleet) - reads
+        now = [fleet.operator(name).status().peer_bytes for name in fleet.boxes]
+        traffic = [n - s for n, s in zip(now, sent, strict=True)]
+        memory = statistics.fmean(resident_mb(pid) for pid in pids)
+        share = statistics.fmean(cpu) / took
+        return share, memory, statistics.fmean(traffic) / took, read / took / boxes
+
+
+def _reads(fleet: Fleet) -> int:
+    answer = json.loads(fleet.post(fleet.platform_faults, "/faults", PlatformFaults()))
+    return int(answer["reads"])
+
+
+def main() -> None:
+    """Measure and fit."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    arguments = parser.parse_args()
+    rows = [measure(size, arguments.seconds) for size in SIZES]
+    print("boxes  processor      MB  bytes/s  reads/s, each for one box")
+    for size, (cpu, memory, sent, reads) in zip(SIZES, rows, strict=True):
+        print(f"{size:5} {cpu:10.2%} {memory:7.1f} {sent:8.0f} {reads:8.2f}")
+    for index, (name, unit) in enumerate(
+        (("processor", "%"), ("memory", "MB"), ("sent to peers", "bytes/s"))
+    ):
+        scale = 100 if index == 0 else 1
+        line = fit(name, unit, "box", SIZES, [row[index] * scale for row in rows])
+        print(
+            f"{line.name}: {line.at_zero:.3f} + {line.slope:.4f} (+- {line.error:.4f}) "
+            f"{line.unit} a box"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/propagation.py
@@ -0,0 +1,92 @@
+"""Time from commit until an edit is in force on all boxes: ``python -m benchmarks.propagation``.
+
+Eighteen real daemons in three places and the platform's stand-in, with the
+table well, slow, down after the commit, and the list lagging.
+"""
+
+from __future__ import annotations
+
+import argparse
+import tempfile
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from demo.fleet import Fleet, wait_until
+from dunlinnotch.protocol.operator import EditRequest
+from dunlinnotch.protocol.outcome import EditStatus
+from dunlinnotch.standins.platform import PlatformFaults
+from dunlinnotch.state.tree import Change, Edit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PLACES = ("hall-a", "hall-b", "hall-c")
+BOXES = 18
+ROUNDS = 10
+_ASK_S = 15.0
+
+
+def one_edit(fleet: Fleet, name: str, rank: int, after_commit: Callable[[], None]) -> float:
+    """Make an edit at one box; return seconds until all boxes have it in force."""
+    client = fleet.operator(name)
+    version = client.tree().version + 1
+    edit = Edit(uuid.uuid4().hex, version - 1, "bench", (Change("/", "rank", str(rank)),))
+    with ThreadPoolExecutor(1) as pool:
+        began = time.perf_counter()
+        asked = pool.submit(client.edit, EditRequest(edit, _ASK_S))
+        wait_until(lambda: client.status().version >= version, what="the commit")
+        committed = time.perf_counter()
+        after_commit()
+        result = asked.result()
+        ended = time.perf_counter()
+    if result.status is not EditStatus.ACCEPTED:
+        msg = f"edit ended as {result.status}: {result.missing} {result.detail}"
+        raise RuntimeError(msg)
+    print(
+        f"    {name}: commit {1000 * (committed - began):6.0f} ms, "
+        f"confirmed by all {1000 * (ended - committed):6.0f} ms later"
+    )
+    return ended - began
+
+
+def main() -> None:
+    """Measure propagation."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    parser.add_argument("--boxes", type=int, default=BOXES)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
+        fleet.start_platform()
+        fleet.start_boxes({f"box-{n:02}": PLACES[n % 3] for n in range(arguments.boxes)})
+        fleet.wait_met(arguments.boxes)
+        names = sorted(fleet.boxes)
+        well = PlatformFaults()
+        scenes: dict[str, tuple[PlatformFaults, PlatformFaults]] = {
+            "table well": (well, well),
+            "table slow, 0.3 s an answer": (replace(well, slow_s=0.3), replace(well, slow_s=0.3)),
+            "table down after the commit": (well, replace(well, down=True)),
+            "list lagging": (replace(well, list_frozen=True),) * 2,
+        }
+        for title, (before, after) in scenes.items():
+            print(title)
+            times = []
+            for number in range(arguments.rounds):
+                fleet.set_platform(before)
+                name = names[(number * 7) % len(names)]
+                times.append(
+                    one_edit(fleet, name, number % 10, lambda a=after: fleet.set_platform(a))  # type: ignore[misc]
+                )
+                fleet.set_platform(well)
+            times.sort()
+            print(
+                f"  {title}: from asking to accepted by all, p50 "
+                f"{times[len(times) // 2]:.2f} s, worst {times[-1]:.2f} s"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,297 @@
+"""Cost of each part against its size: ``python -m benchmarks.slopes``.
+
+Each line is a straight line fitted to several sizes, with the standard error
+of its slope.  ``docs/CAPACITY.md`` is worked out from them.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+import msgpack
+
+from dunlinnotch import _codec
+from dunlinnotch.coordination.choice import Chooser
+from dunlinnotch.coordination.directory import PoolDirectory
+from dunlinnotch.coordination.membership import Membership
+from dunlinnotch.coordination.settings import SettingsHolder
+from dunlinnotch.coordination.steering import Steering
+from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.protocol.peers import LinkState, Sync
+from dunlinnotch.state.boxes import BoxRow
+from dunlinnotch.state.heads import AnswerHead
+from dunlinnotch.state.ledger import KeptAnswer, OnceLedger
+from dunlinnotch.state.schema import RunState
+from dunlinnotch.state.targets import TargetRecord
+from dunlinnotch.state.tree import Change, Edit, SettingsTree
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+PLACES = ("hall-a", "hall-b", "hall-c", "hall-d")
+_LEAST_S = 0.05
+_REPEATS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A fitted line: ``at_zero + slope * size``, with the slope's standard error."""
+
+    name: str
+    unit: str
+    per: str
+    at_zero: float
+    slope: float
+    error: float
+
+
+def fit(name: str, unit: str, per: str, sizes: Sequence[float], costs: Sequence[float]) -> Line:
+    """Fit a line by least squares."""
+    found = statistics.linear_regression(sizes, costs)
+    mean = statistics.fmean(sizes)
+    spread = sum((size - mean) ** 2 for size in sizes)
+    rest = sum(
+        (cost - found.intercept - found.slope * size) ** 2
+        for size, cost in zip(sizes, costs, strict=True)
+    )
+    error = (rest / (len(sizes) - 2) / spread) ** 0.5
+    return Line(name, unit, per, found.intercept, found.slope, error)
+
+
+def micros(act: Callable[[], object]) -> float:
+    """Return the processor time of one ``act``, in microseconds: the least of some series."""
+    best = float("inf")
+    for _ in range(_REPEATS):
+        count, spent = 0, 0.0
+        while spent < _LEAST_S:
+            began = time.process_time()
+            act()
+            spent += time.process_time() - began
+            count += 1
+        best = min(best, spent / count)
+    return best * 1e6
+
+
+def kilobytes(make: Callable[[], object]) -> float:
+    """Return the memory that ``make``'s result holds, in KB."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def rows(count: int) -> tuple[BoxRow, ...]:
+    """Return rows of ``count`` boxes in four places."""
+    return tuple(
+        BoxRow(
+            name=f"box-{number:05}",
+            incarnation=1_796_205_229_814_327_432,
+            seq=123_456,
+            place=PLACES[number % 4],
+            address="10.100.100.100:7001",
+            peer="10.100.100.100:7002",
+            state=RunState.RUNNING,
+            version=123_456,
+            in_flight=10,
+            tick=1234567.123,
+        )
+        for number in range(count)
+    )
+
+
+def tree(services: int, targets: int = 7) -> SettingsTree:
+    """Return a tree with so many services, each in two places with two kinds."""
+    nodes: dict[str, dict[str, str]] = {"/": {"boxes_max": "5000", "keep_s": "10"}}
+    for number in range(services):
+        for place in PLACES[:2]:
+            addresses = ", ".join(
+                f"10.{number // 250}.{number % 250}.{t}:80" for t in range(targets)
+            )
+            nodes[f"{place}/service-{number}"] = {"targets": addresses, "slots": "6"}
+        nodes[f"*/service-{number}/lookup"] = {"repeatable": "yes"}
+        nodes[f"*/service-{number}/loan"] = {"rank": "1"}
+    return SettingsTree(1, nodes, dict.fromkeys(nodes, 1))
+
+
+def membership(count: int) -> Membership:
+    """Return what a box knows of ``count`` others."""
+    own = replace(rows(1)[0], name="own")
+    known = Membership(own, holder=SettingsHolder(), clock=lambda: 0.0)
+    known.take(Sync("x", 1, 0, None, rows(count)), LinkState())
+    return known
+
+
+def choice_line() -> Line:
+    """Cost of a choice with its counting, against the candidates."""
+    sizes = (2, 5, 10, 20, 40)
+    costs = []
+    for size in sizes:
+        chooser = Chooser(rng=random.Random(1))
+        records = [TargetRecord(f"10.0.0.{n}:80", "a", 6, 6.0) for n in range(size)]
+        chooser.set_targets(records, {"a": 1.0})
+
+        def act(chooser: Chooser = chooser) -> None:
+            choice = chooser.choose(1.0)
+            if choice is not None:
+                flight = chooser.begin(choice.target, 1.0, kind="a")
+                chooser.heard(choice.target, 1.0, 2)
+                chooser.finish(choice.target, flight, 1.0, kind="a", failed=False)
+
+        costs.append(micros(act))
+    return fit("choose, send, report, end", "us", "candidate", sizes, costs)
+
+
+def subset_line() -> Line:
+    """Cost of the subsets of one service, against boxes times targets."""
+    sizes, costs = [], []
+    for boxes, targets in ((6, 30), (18, 30), (50, 30), (50, 60), (100, 60)):
+        names = [f"box-{n}" for n in range(boxes)]
+        addresses = [f"10.0.0.{n}:80" for n in range(targets)]
+        sizes.append(float(boxes * targets))
+        costs.append(micros(lambda n=names, a=addresses: assign_subsets(n, a, 10)))  # type: ignore[misc]
+    return fit("subsets of a service", "us", "box x target", sizes, costs)
+
+
+def rebuild_line() -> Line:
+    """Cost of putting a tree in force, against services, with 18 boxes."""
+    sizes = (5, 10, 20, 40)
+    costs = []
+    for size in sizes:
+        directory = PoolDirectory(
+            box="box-00000", place="hall-a", clock=lambda: 0.0, rng=random.Random(1)
+        )
+        found = tree(size)
+        boxes = rows(18)
+        costs.append(micros(lambda d=directory, t=found, b=boxes: d.rebuild(t, b)))  # type: ignore[misc]
+    return fit("pools rebuilt, 18 boxes, 14 targets a service", "us", "service", sizes, costs)
+
+
+def edit_line() -> Line:
+    """Cost of applying an edit, against the nodes of the tree."""
+    sizes, costs = [], []
+    for services in (10, 50, 200, 650):
+        found = tree(services)
+        edit = Edit("e", 1, "anna", (Change("hall-a/service-1", "weight", "0.5"),), 2)
+        sizes.append(float(len(found.nodes)))
+        costs.append(micros(lambda t=found, e=edit: t.apply(e)))  # type: ignore[misc]
+    return fit("edit applied", "us", "tree node", sizes, costs)
+
+
+def tree_lines() -> list[Line]:
+    """Memory, decoding and size of a tree, against its nodes."""
+    sizes, memory, decoding, size = [], [], [], []
+    for services in (10, 50, 200, 650):
+        data = _codec.to_json(tree(services))
+        sizes.append(float(len(tree(services).nodes)))
+        memory.append(kilobytes(lambda s=services: tree(s)))  # type: ignore[misc]
+        decoding.append(micros(lambda d=data: _codec.from_json(SettingsTree, d)))  # type: ignore[misc]
+        size.append(len(data) / 1024)
+    return [
+        fit("tree held", "KB", "tree node", sizes, memory),
+        fit("snapshot decoded", "us", "tree node", sizes, decoding),
+        fit("snapshot size", "KB", "tree node", sizes, size),
+    ]
+
+
+def steering_line() -> Line:
+    """Cost of an address answer, against the boxes known."""
+    sizes = (6, 18, 50, 200)
+    costs = []
+    for size in sizes:
+        steering = Steering(membership(size), rng=random.Random(1))
+        found = tree(2)
+        costs.append(
+            micros(lambda s=steering, t=found: s.answer(t, caller="branch-1", place="hall-a"))  # type: ignore[misc]
+        )
+    return fit("address answer", "us", "box known", sizes, costs)
+
+
+def link_lines() -> list[Line]:
+    """Cost and size of a turn of a link, against the rows in it, and memory of rows."""
+    sizes = (0, 5, 18, 50, 200)
+    costs, size, memory = [], [], []
+    for count in sizes:
+        sync = Sync("box-1", 1, 1, 0.5, rows(count))
+        data = _codec.pack(sync)
+
+        def act(sync: Sync = sync) -> None:
+            packed = _codec.pack(sync)
+            import_turn(packed)
+
+        costs.append(micros(act))
+        size.append(float(len(data)))
+        memory.append(kilobytes(lambda c=count: membership(c)))  # type: ignore[misc]
+    return [
+        fit("turn packed and read", "us", "row", sizes, costs),
+        fit("turn's size", "bytes", "row", sizes, size),
+        fit("rows held", "KB", "box known", sizes, memory),
+    ]
+
+
+def import_turn(packed: bytes) -> Sync:
+    """Read a packed turn, as the other end of a link does."""
+    return _codec.from_plain(Sync, msgpack.unpackb(packed))
+
+
+def ledger_lines() -> list[Line]:
+    """Memory and cost of once-keys."""
+    sizes = (1000, 5000, 20000)
+    head = AnswerHead(200, "OK", (), 100)
+
+    def fill(count: int) -> OnceLedger:
+        ledger = OnceLedger(clock=lambda: 1.0)
+        for number in range(count):
+            key = f"holdings/loan/box-00001~1796205229814327432~573829~{number:032}"
+            entry = ledger.claim(key, minted=1.0, window=600.0).entry
+            if entry is not None:
+                ledger.answered(entry, KeptAnswer(head, b"x" * 100))
+        return ledger
+
+    memory = [kilobytes(lambda s=size: fill(s)) for size in sizes]  # type: ignore[misc]
+    costs = []
+    for size in sizes:
+        began = time.process_time()
+        fill(size)
+        costs.append((time.process_time() - began) * 1e6)
+    return [
+        fit("once-keys held, 100 bytes answered", "KB", "key", sizes, memory),
+        fit("once-key claimed and answered", "us", "key", sizes, costs),
+    ]
+
+
+def main() -> None:
+    """Measure and print all lines."""
+    began = time.monotonic()
+    lines = [
+        choice_line(),
+        subset_line(),
+        rebuild_line(),
+        edit_line(),
+        *tree_lines(),
+        steering_line(),
+        *link_lines(),
+        *ledger_lines(),
+    ]
+    edit = Edit("0" * 32, 1, "anna", (Change("hall-a/service-1", "weight", "0.5"),), 2)
+    print(f"{'what':48} {'at zero':>10} {'slope':>10} {'error':>9}  unit, per")
+    for line in lines:
+        print(
+            f"{line.name:48} {line.at_zero:10.2f} {line.slope:10.4f} {line.error:9.4f}  "
+            f"{line.unit} per {line.per}"
+        )
+    print(f"one edit in msgpack: {len(_codec.pack(edit))} bytes")
+    print(f"took {time.monotonic() - began:.0f} s")
+
+
+if __name__ == "__main__":
+    main()
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -116,6 +116,7 @@
     platform_faults: str = ""
     processes: list[Process] = field(default_factory=list)
     statsd: str = ""
+    given: set[str] = field(default_factory=set)
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False, timeout=10.0)
     )
@@ -131,12 +132,15 @@
             process.end()
 
     def free_addresses(self, count: int) -> list[str]:
-        """Return addresses with ports from the kernel."""
-        socks = [socket.create_server((self.host, 0)) for _ in range(count)]
-        addresses = [f"{self.host}:{sock.getsockname()[1]}" for sock in socks]
-        for sock in socks:
-            sock.close()
-        return addresses
+        """Return addresses with ports from the kernel, none of them given out before."""
+        found: list[str] = []
+        while len(found) < count:
+            with socket.create_server((self.host, 0)) as sock:
+                address = f"{self.host}:{sock.getsockname()[1]}"
+            if address not in self.given:
+                self.given.add(address)
+                found.append(address)
+        return found
 
     def start(self, name: str, *arguments: str) -> Process:
         """Start a Python module of the package."""
--- a/dunlinnotch/_codec.py
+++ b/dunlinnotch/_codec.py
@@ -45,7 +45,7 @@
         Names the first field that does not fit.
     """
     try:
-        found: T = _adapter(cls).validate_python(plain)
+        found: T = _adapter(cls).validate_python(plain, by_alias=True, by_name=True)
     except ValidationError as error:
         first = error.errors()[0]
         where = ".".join(str(part) for part in first["loc"])
@@ -55,8 +55,9 @@
 
 
 def pack(value: object) -> bytes:
-    """Return ``value`` as one msgpack object."""
-    packed: bytes = msgpack.packb(to_plain(value))
+    """Return ``value`` as one msgpack object, fields under their short names."""
+    plain = _adapter(type(value)).dump_python(value, mode="json", by_alias=True)
+    packed: bytes = msgpack.packb(plain)
     return packed
 
 
@@ -74,7 +75,7 @@
         If the text is not JSON or does not fit.
     """
     try:
-        found: T = _adapter(cls).validate_json(data)
+        found: T = _adapter(cls).validate_json(data, by_alias=True, by_name=True)
     except ValidationError as error:
         first = error.errors()[0]
         where = ".".join(str(part) for part in first["loc"])
--- a/dunlinnotch/config.py
+++ b/dunlinnotch/config.py
@@ -51,11 +51,11 @@
     """How this box keeps in touch with others."""
 
     seeds: AddressList = Field((), description="Peers tried while none is known.")
-    links: int = Field(4, ge=1, le=64, description="Most links that this box opens.")
-    heartbeat_ms: float = Field(200, ge=20, le=10000, description="Time between two turns, ms.")
-    row_ms: float = Field(1000, ge=50, le=60000, description="Time between two rows, ms.")
+    links: int = Field(3, ge=1, le=64, description="Most links that this box opens.")
+    heartbeat_ms: float = Field(250, ge=20, le=10000, description="Time between two turns, ms.")
+    row_ms: float = Field(2000, ge=50, le=60000, description="Time between two rows, ms.")
     suspect_ms: float = Field(
-        3000, ge=100, le=600000, description="Silence after which a box is not offered, ms."
+        6000, ge=100, le=600000, description="Silence after which a box is not offered, ms."
     )
     forget_ms: float = Field(
         30000,
--- a/dunlinnotch/coordination/core.py
+++ b/dunlinnotch/coordination/core.py
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    suspect_s : float, default 3.0
+    suspect_s : float, default 6.0
         Silence after which a box is not offered to callers.
     forget_s : float, default 30.0
         Silence after which the row of an unlisted box is dropped.
@@ -70,7 +70,7 @@
         Boxes of each place that read the table often.
     """
 
-    suspect_s: Seconds = 3.0
+    suspect_s: Seconds = 6.0
     forget_s: Seconds = 30.0
     drain_margin_s: Seconds = 1.0
     lease_s: Seconds = LEASE_S
--- a/dunlinnotch/coordination/directory.py
+++ b/dunlinnotch/coordination/directory.py
@@ -4,7 +4,7 @@
 
 import threading
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from dunlinnotch.coordination.choice import place_shares
 from dunlinnotch.coordination.pool import ServicePool
@@ -29,6 +29,28 @@
     targets: list[TargetRecord] = field(default_factory=list)
 
 
+class _SubsetKey(NamedTuple):
+    """What a subset depends on."""
+
+    boxes: tuple[str, ...]
+    targets: tuple[Address, ...]
+    size: int
+
+
+class _Shared(NamedTuple):
+    """A target of this box, and how many boxes send to it."""
+
+    address: Address
+    sharers: float
+
+
+class _Subset(NamedTuple):
+    """The targets at one node of the tree that the box works with."""
+
+    key: _SubsetKey
+    shared: tuple[_Shared, ...]
+
+
 class PoolDirectory:
     """Build and find the pools of services.
 
@@ -52,6 +74,7 @@
         self._rng = rng
         self._pools: dict[str, ServicePool] = {}
         self._limits: dict[Address, int] = {}
+        self._subsets: dict[str, _Subset] = {}
         self._lock = threading.Lock()
         self.some_wait = threading.Event()
 
@@ -115,11 +138,22 @@
         if not running or not place_runs or settings.state is not RunState.RUNNING:
             return
         plan.weights[place] = settings.weight
-        group = [row.name for row in boxes if row.place == self._place]
-        subsets = assign_subsets(group, running, settings.subset)
-        for address in sorted(subsets.get(self._box, ())):
-            sharers = sum(address in subset for subset in subsets.values())
-            plan.targets.append(TargetRecord(address, place, settings.slots, float(sharers)))
+        group = tuple(sorted(row.name for row in boxes if row.place == self._place))
+        wanted = _SubsetKey(group, tuple(running), settings.subset)
+        for address, sharers in self._subset(f"{place}/{service}", wanted):
+            plan.targets.append(TargetRecord(address, place, settings.slots, sharers))
+
+    def _subset(self, path: str, wanted: _SubsetKey) -> tuple[_Shared, ...]:
+        """Return this box's targets at a node, worked out anew only if something changed."""
+        known = self._subsets.get(path)
+        if known is None or known.key != wanted:
+            subsets = assign_subsets(wanted.boxes, wanted.targets, wanted.size)
+            shared = tuple(
+                _Shared(address, float(sum(address in subset for subset in subsets.values())))
+                for address in sorted(subsets.get(self._box, ()))
+            )
+            known = self._subsets[path] = _Subset(wanted, shared)
+        return known.shared
 
 
 def _demand(boxes: Sequence[BoxRow]) -> dict[str, float]:
--- a/dunlinnotch/daemon/box.py
+++ b/dunlinnotch/daemon/box.py
@@ -177,11 +177,16 @@
         self._peer_server.close()
         event(_log, "stopped", box=self.core.name)
 
+    @property
+    def peer_bytes(self) -> int:
+        """Bytes sent to peers since the start."""
+        return self.links.sent_bytes + self._peer_server.sent_bytes
+
     def stop(self) -> None:
         """Begin a planned stop that no edit calls off."""
         self.signalled = True
         self.core.begin_drain()
-        self._changed.set()
+        self.links.wake()
 
     def _keep_going(self, loop: Callable[[], None]) -> None:
         """Run a loop; an error nobody foresaw ends the process, not just a thread."""
@@ -211,7 +216,6 @@
             self.core.maintain()
             if not self.signalled:
                 self.core.heed_operator()
-            self.links.wake()
             self._send_gauges()
             self._changed.wait(period)
             self._changed.clear()
--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -79,6 +79,7 @@
             refusing=None if refusal is None else refusal.detail,
             drain=core.drain.status(),
             links=tuple(self._box.links.names()),
+            peer_bytes=self._box.peer_bytes,
             rows=tuple(core.membership.rows()),
         )
 
--- a/dunlinnotch/protocol/operator.py
+++ b/dunlinnotch/protocol/operator.py
@@ -54,7 +54,17 @@
 @wire
 @dataclass(frozen=True, slots=True)
 class Status:
-    """What a box says of itself and of the others."""
+    """What a box says of itself and of the others.
+
+    Parameters
+    ----------
+    refusing : str or None
+        Why the box takes no new work.
+    links : tuple of str
+        Peers that this box has opened links to.
+    peer_bytes : int
+        Bytes sent to peers since the start.
+    """
 
     box: str
     version: Version
@@ -63,6 +73,7 @@
     refusing: str | None
     drain: DrainStatus
     links: tuple[str, ...]
+    peer_bytes: int
     rows: tuple[BoxRow, ...]
 
 
--- a/dunlinnotch/protocol/peers.py
+++ b/dunlinnotch/protocol/peers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Annotated, Protocol
+
+from pydantic import Field
 
 from dunlinnotch._codec import wire
 from dunlinnotch.state.boxes import BoxRow
@@ -38,13 +40,13 @@
         The whole tree, if the edits no longer reach back far enough.
     """
 
-    sender: str
-    incarnation: int
-    version: Version
-    table_age: float | None
-    rows: tuple[BoxRow, ...]
-    edits: tuple[Edit, ...] = ()
-    tree: SettingsTree | None = None
+    sender: Annotated[str, Field(alias="n")]
+    incarnation: Annotated[int, Field(alias="i")]
+    version: Annotated[Version, Field(alias="v")]
+    table_age: Annotated[float | None, Field(alias="o")]
+    rows: Annotated[tuple[BoxRow, ...], Field(alias="r")]
+    edits: Annotated[tuple[Edit, ...], Field(alias="e")] = ()
+    tree: Annotated[SettingsTree | None, Field(alias="t")] = None
 
 
 @dataclass(slots=True)
--- a/dunlinnotch/state/boxes.py
+++ b/dunlinnotch/state/boxes.py
@@ -1,8 +1,15 @@
-"""Rows about boxes, each written by the one box that it describes."""
+"""Rows about boxes, each written by the one box that it describes.
+
+Rows are most of what boxes send to each other, so their fields have short
+names on the wire.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from pydantic import Field
 
 from dunlinnotch._codec import wire
 from dunlinnotch.state.schema import RunState
@@ -53,17 +60,17 @@
         What targets have told this box itself; hearsay is not passed on.
     """
 
-    name: str
-    incarnation: int
-    seq: int
-    place: str
-    address: Address
-    peer: Address
-    state: RunState
-    version: Version
-    in_flight: int
-    tick: Seconds
-    leaving: tuple[LeavingTarget, ...] = ()
+    name: Annotated[str, Field(alias="n")]
+    incarnation: Annotated[int, Field(alias="i")]
+    seq: Annotated[int, Field(alias="q")]
+    place: Annotated[str, Field(alias="l")]
+    address: Annotated[Address, Field(alias="a")]
+    peer: Annotated[Address, Field(alias="p")]
+    state: Annotated[RunState, Field(alias="s")]
+    version: Annotated[Version, Field(alias="v")]
+    in_flight: Annotated[int, Field(alias="f")]
+    tick: Annotated[Seconds, Field(alias="t")]
+    leaving: Annotated[tuple[LeavingTarget, ...], Field(alias="g")] = ()
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/dunlinnotch/transport/peers.py
+++ b/dunlinnotch/transport/peers.py
@@ -39,19 +39,19 @@
 
 
 class _Stream:
-    """Messages on one socket, with its traffic counted."""
+    """Messages on one socket."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         sock.settimeout(SILENT_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_BYTES)
-        self.sent_bytes = 0
 
-    def send(self, sync: Sync) -> None:
+    def send(self, sync: Sync) -> int:
+        """Send a message; return its size in bytes."""
         data = _codec.pack(sync)
-        self.sent_bytes += len(data)
         self._sock.sendall(data)
+        return len(data)
 
     def receive(self) -> Sync | None:
         """Return the next message, or None at the end of the stream."""
@@ -87,6 +87,7 @@
         self._membership = membership
         self._listener = socket.create_server(bind, backlog=128)
         self._stopped = threading.Event()
+        self.sent_bytes = 0
         self._socks: set[socket.socket] = set()
 
     @property
@@ -121,7 +122,7 @@
             stream = _Stream(sock)
             while (sync := stream.receive()) is not None:
                 self._membership.take(sync, link)
-                stream.send(self._membership.turn(link))
+                self.sent_bytes += stream.send(self._membership.turn(link))
         except (OSError, ProtocolError) as error:
             event(_log, "link-ended", level=logging.DEBUG, detail=str(error))
         finally:
@@ -160,6 +161,7 @@
         self._heartbeat_s = heartbeat_s
         self._on_traffic = on_traffic
         self._links: dict[str, _Link] = {}
+        self.sent_bytes = 0
         self._stopped = threading.Event()
 
     def start(self) -> None:
@@ -198,10 +200,10 @@
 
     def take_turn(self, stream: _Stream, state: LinkState) -> bool:
         """Send and receive once; return whether the peer is still there."""
-        before = stream.sent_bytes
-        stream.send(self._membership.turn(state))
+        size = stream.send(self._membership.turn(state))
+        self.sent_bytes += size
         if self._on_traffic is not None:
-            self._on_traffic(stream.sent_bytes - before)
+            self._on_traffic(size)
         answer = stream.receive()
         if answer is None:
             return False
