--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import gc
+import math
 import random
 import statistics
 import time
@@ -35,6 +36,7 @@
     from collections.abc import Callable, Sequence
 
 PLACES = ("hall-a", "hall-b", "hall-c", "hall-d")
+LINKS = 3
 _LEAST_S = 0.05
 _REPEATS = 5
 
@@ -269,6 +271,49 @@
     ]
 
 
+def target_line() -> Line:
+    """Memory of what a box knows of a target."""
+    sizes = (10, 100, 1000)
+
+    def make(count: int) -> list[TargetRecord]:
+        return [TargetRecord(f"10.0.{n // 250}.{n % 250}:80", "hall-a", 6) for n in range(count)]
+
+    memory = [kilobytes(lambda s=size: make(s)) for size in sizes]  # type: ignore[misc]
+    return fit("targets known", "KB", "target", sizes, memory)
+
+
+def hops_line() -> Line:
+    """Links between the two boxes farthest apart, against the doublings of boxes."""
+    sizes, hops = [], []
+    for count in (18, 60, 200, 700):
+        graph = _graph(count)
+        far = max(_farthest(graph, start) for start in list(graph)[:: max(1, count // 20)])
+        sizes.append(math.log2(count))
+        hops.append(float(far))
+    return fit("links between the farthest boxes", "links", "doubling of boxes", sizes, hops)
+
+
+def _graph(count: int) -> dict[str, set[str]]:
+    known = rows(count)
+    graph: dict[str, set[str]] = {row.name: set() for row in known}
+    for row in known:
+        members = Membership(row, holder=SettingsHolder(), clock=lambda: 0.0)
+        members.take(Sync("x", 1, 0, None, known), LinkState())
+        for name in members.links(LINKS, []):
+            graph[row.name].add(name)
+            graph[name].add(row.name)
+    return graph
+
+
+def _farthest(graph: dict[str, set[str]], start: str) -> int:
+    reached, edge, far = {start}, {start}, 0
+    while len(reached) < len(graph):
+        edge = {name for at in edge for name in graph[at]} - reached
+        reached |= edge
+        far += 1
+    return far
+
+
 def main() -> None:
     """Measure and print all lines."""
     began = time.monotonic()
@@ -281,6 +326,8 @@
         steering_line(),
         *link_lines(),
         *ledger_lines(),
+        target_line(),
+        hops_line(),
     ]
     edit = Edit("0" * 32, 1, "anna", (Change("hall-a/service-1", "weight", "0.5"),), 2)
     print(f"{'what':48} {'at zero':>10} {'slope':>10} {'error':>9}  unit, per")
--- a/dunlinnotch/coordination/seats.py
+++ b/dunlinnotch/coordination/seats.py
@@ -110,6 +110,8 @@
             on to its end.
         """
         try:
+            if self.lease is not None and self._renew_own(self.lease):
+                return True
             rows = {row.key: row for row in self._rows()}
             for key in self._wanted(seats):
                 if self._free(key, rows.get(key)) and self._take(key, rows.get(key)):
@@ -118,6 +120,17 @@
             event(_log, "seat-not-renewed", level=logging.WARNING, detail=str(error))
         return self.held()
 
+    def _renew_own(self, lease: Lease) -> bool:
+        """Renew the seat held, reading its row only; return whether that went well."""
+        row = self._platform.read(lease.key)
+        if row is None or not self._own(row):
+            return False
+        return self._take(lease.key, row)
+
+    def _own(self, row: Row) -> bool:
+        value = _codec.from_json(SeatValue, row.value.encode())
+        return (value.box, value.incarnation) == (self._box, self._incarnation)
+
     def _rows(self) -> list[Row]:
         rows = self._platform.scan(SEAT_PREFIX, after="", limit=_SCAN_LIMIT)
         now = self._clock()
@@ -128,21 +141,15 @@
         return rows
 
     def _wanted(self, seats: int) -> list[str]:
-        """Return seats in the order in which to try them, the one held first."""
+        """Return seats in the order in which to try them."""
         start = rank_hash(self._box, "seat") % seats
-        keys = [f"{SEAT_PREFIX}{(start + step) % seats:05d}" for step in range(seats)]
-        if self.lease is not None and self.lease.key in keys:
-            keys.remove(self.lease.key)
-            keys.insert(0, self.lease.key)
-        return keys
+        return [f"{SEAT_PREFIX}{(start + step) % seats:05d}" for step in range(seats)]
 
     def _free(self, key: str, row: Row | None) -> bool:
         """Return whether a seat is empty, ours, or lapsed for certain."""
-        if row is None:
+        if row is None or self._own(row):
             return True
         value = _codec.from_json(SeatValue, row.value.encode())
-        if (value.box, value.incarnation) == (self._box, self._incarnation):
-            return True
         # The holder's lease began before the row was written, so before this box saw it.
         unchanged = self._clock() - self._seen[key].at
         return unchanged > value.lease_s * (1.0 + _DRIFT)
--- /dev/null
+++ b/tests/test_seats.py
@@ -0,0 +1,103 @@
+import pytest
+
+from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
+from dunlinnotch.coordination.seats import SeatHolder
+from dunlinnotch.standins.platform import PlatformFaults
+from dunlinnotch.state.schema import Settings
+from tests import FakeClock, FakePlatform
+
+
+@pytest.fixture
+def clock():
+    return FakeClock()
+
+
+@pytest.fixture
+def platform():
+    return FakePlatform()
+
+
+def holder(platform, clock, name, incarnation=1):
+    return SeatHolder(platform, box=name, incarnation=incarnation, clock=clock, lease_s=60.0)
+
+
+def test_no_more_boxes_hold_seats_than_there_are(platform, clock):
+    holders = [holder(platform, clock, f"box-{n}") for n in range(5)]
+    assert sum(h.renew(3) for h in holders) == 3
+    assert len({h.lease.key for h in holders if h.lease}) == 3
+
+
+def test_holder_that_was_paused_finds_its_lease_lapsed(platform, clock):
+    paused, other = holder(platform, clock, "a"), holder(platform, clock, "b")
+    assert paused.renew(1)
+    assert not other.renew(1)
+    clock.advance(64.0)
+    assert not paused.held()
+    assert other.renew(1)
+    assert other.lease.fence > paused.lease.fence
+    assert not paused.renew(1)
+
+
+def test_seat_is_taken_over_only_after_it_was_seen_unchanged_for_the_lease(platform, clock):
+    first, other = holder(platform, clock, "a"), holder(platform, clock, "b")
+    first.renew(1)
+    clock.advance(61.0)
+    assert not other.renew(1)
+    clock.advance(62.0)
+    first.renew(1)
+    assert not other.renew(1)
+    clock.advance(64.0)
+    assert other.renew(1)
+
+
+def test_restarted_box_does_not_take_its_old_seat_for_its_own(platform, clock):
+    holder(platform, clock, "a", incarnation=1).renew(1)
+    assert not holder(platform, clock, "a", incarnation=2).renew(1)
+
+
+def test_lost_answer_gives_no_seat_until_it_is_read_back(platform, clock):
+    own = holder(platform, clock, "a")
+    platform.set_faults(PlatformFaults(lose_answers=1))
+    assert not own.renew(1)
+    assert own.renew(1)
+
+
+def test_table_outage_lets_the_lease_run_on_and_lapse(platform, clock):
+    own = holder(platform, clock, "a")
+    own.renew(1)
+    platform.set_faults(PlatformFaults(down=True))
+    clock.advance(30.0)
+    assert own.renew(1)
+    clock.advance(31.0)
+    assert not own.renew(1)
+
+
+def test_renewal_reads_one_row(platform, clock):
+    own = holder(platform, clock, "a")
+    own.renew(3)
+    before = platform.store.reads
+    assert own.renew(3)
+    assert platform.store.reads - before == 1
+
+
+def test_lower_of_rate_and_share_counts_divided_by_boxes():
+    assert probes_per_second(Settings(probe_rate=2, boxes_max=10)) == 0.2
+    tight = Settings(probe_rate=100, probe_share=0.01, slots=3, probe_cost_ms=6, boxes_max=10)
+    assert probes_per_second(tight) == pytest.approx(0.5)
+
+
+def test_probes_are_spaced_and_never_saved_up_by_a_pause():
+    budget = ProbeBudget()
+    settings = Settings(probe_rate=2, boxes_max=2)
+    taken = 0
+    for second in (0.0, 0.5, 1.0, 1.5, 100.0, 100.1, 100.2):
+        if budget.take("t", settings, second):
+            taken += 1
+            budget.ended("t")
+    assert taken == 2
+
+
+def test_one_probe_at_a_time_to_a_target():
+    budget = ProbeBudget()
+    settings = Settings(probe_rate=2, boxes_max=2)
+    assert [budget.take("t", settings, float(s)) for s in range(4)] == [False, True, False, False]
