Give up probe seats that are no more; product pages, log limits, tool tests

Ruled out: the longer suspect time, changed in the same span (only drains wait longer). Change: a seat counts only below the number of seats in force, asked at each probe and each renewal.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 mutants: .venv/.ready
 	$(BIN)/python -m tests.mutants
+
+pages: .venv/.ready
+	$(BIN)/python -m tools.pages
--- a/dunlinnotch/_logs.py
+++ b/dunlinnotch/_logs.py
@@ -5,10 +5,17 @@
 import json
 import logging
 import sys
-from typing import Any
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Clock
 
 #: Attribute of a log record that carries the structured fields.
 FIELDS = "fields"
+#: Events of which there is one for each routing or placement decision.
+DECISIONS = frozenset({"route", "refused", "addresses", "probe"})
 
 _ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
 
@@ -40,16 +47,61 @@
         return _ENCODER.encode(line)
 
 
-def configure(*, level: str = "INFO") -> None:
+class DecisionLimit(logging.Filter):
+    """Let at most so many decision lines through in a second, and count the rest.
+
+    Parameters
+    ----------
+    most : int
+        Lines in a second.
+    clock : callable, default time.monotonic
+
+    Notes
+    -----
+    The first decision line after some were left out carries their number as
+    ``left_out``, so counts stay whole.
+    """
+
+    def __init__(self, most: int, *, clock: Clock = time.monotonic) -> None:
+        super().__init__()
+        self._most = most
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._second = 0
+        self._passed = 0
+        self._left_out = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether ``record`` is written."""
+        if record.getMessage() not in DECISIONS:
+            return True
+        with self._lock:
+            second = int(self._clock())
+            if second != self._second:
+                self._second, self._passed = second, 0
+            if self._passed >= self._most:
+                self._left_out += 1
+                return False
+            self._passed += 1
+            left_out, self._left_out = self._left_out, 0
+        if left_out:
+            getattr(record, FIELDS)["left_out"] = left_out
+        return True
+
+
+def configure(*, level: str = "INFO", decisions_per_s: int = 1000) -> None:
     """Send all log records to standard error as JSON lines.
 
     Parameters
     ----------
     level : str, default "INFO"
         A level name known to :mod:`logging`.
+    decisions_per_s : int, default 1000
+        Most decision lines in a second; the rest are counted.
     """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter())
+    handler.addFilter(DecisionLimit(decisions_per_s))
     # A record needs neither thread, process nor source line; finding them costs time.
     logging.logThreads = False
     logging.logProcesses = False
--- a/dunlinnotch/cli/__main__.py
+++ b/dunlinnotch/cli/__main__.py
@@ -25,6 +25,7 @@
     moves.TargetDrain,
     moves.TargetResume,
     moves.ShowStatus,
+    moves.LogLevel,
     moves.CheckFile,
 )
 
--- a/dunlinnotch/cli/moves.py
+++ b/dunlinnotch/cli/moves.py
@@ -157,6 +157,21 @@
         return Exit.OK
 
 
+class LogLevel(BoxCommand):
+    """Change the log level of a running box."""
+
+    name = "log-level"
+    description = "Change the least level that a box logs, until it restarts"
+    help = "Example: <info>dunlinnotch log-level DEBUG --box 10.0.0.3:7003</info>"
+    arguments: ClassVar[list[Any]] = [argument("level", "DEBUG, INFO, WARNING or ERROR")]
+
+    def act(self) -> Exit:
+        """Change the level."""
+        self.client().log_level(self.argument("level"))
+        self.line(f"level is now {self.argument('level').upper()}")
+        return Exit.OK
+
+
 class CheckFile(Command):
     """Check a daemon's INI file."""
 
--- a/dunlinnotch/coordination/core.py
+++ b/dunlinnotch/coordination/core.py
@@ -241,7 +241,7 @@
     def _probe_if_due(self, pool: ServicePool, target: TargetRecord) -> None:
         now = self._clock()
         settings = self.holder.tree.effective(f"{target.place}/{pool.service}")
-        if not self._budget.wanted(target, now) or not self.seat.held():
+        if not self._budget.wanted(target, now) or not self.seat.held(settings.boxes_max):
             return
         if not self._budget.take(target.address, settings, now):
             return
--- a/dunlinnotch/coordination/seats.py
+++ b/dunlinnotch/coordination/seats.py
@@ -91,9 +91,11 @@
         self._seen: dict[str, _Seen] = {}
         self.lease: Lease | None = None
 
-    def held(self) -> bool:
-        """Return whether this box holds a seat now, by its own clock."""
-        return self.lease is not None and self.lease.valid(self._clock())
+    def held(self, seats: int) -> bool:
+        """Return whether this box holds one of so many seats now, by its own clock."""
+        if self.lease is None or _number(self.lease.key) >= seats:
+            return False
+        return self.lease.valid(self._clock())
 
     def renew(self, seats: int) -> bool:
         """Renew the seat held, or take a free one.
@@ -110,7 +112,7 @@
             on to its end.
         """
         try:
-            if self.lease is not None and self._renew_own(self.lease):
+            if self._renew_own(seats):
                 return True
             rows = {row.key: row for row in self._rows()}
             for key in self._wanted(seats):
@@ -118,14 +120,16 @@
                     return True
         except PlatformUnavailableError as error:
             event(_log, "seat-not-renewed", level=logging.WARNING, detail=str(error))
-        return self.held()
+        return self.held(seats)
 
-    def _renew_own(self, lease: Lease) -> bool:
+    def _renew_own(self, seats: int) -> bool:
         """Renew the seat held, reading its row only; return whether that went well."""
-        row = self._platform.read(lease.key)
+        if self.lease is None or _number(self.lease.key) >= seats:
+            return False
+        row = self._platform.read(self.lease.key)
         if row is None or not self._own(row):
             return False
-        return self._take(lease.key, row)
+        return self._take(self.lease.key, row)
 
     def _own(self, row: Row) -> bool:
         value = _codec.from_json(SeatValue, row.value.encode())
@@ -143,7 +147,7 @@
     def _wanted(self, seats: int) -> list[str]:
         """Return seats in the order in which to try them."""
         start = rank_hash(self._box, "seat") % seats
-        return [f"{SEAT_PREFIX}{(start + step) % seats:05d}" for step in range(seats)]
+        return [_key((start + step) % seats) for step in range(seats)]
 
     def _free(self, key: str, row: Row | None) -> bool:
         """Return whether a seat is empty, ours, or lapsed for certain."""
@@ -167,3 +171,11 @@
             event(_log, "seat-taken", seat=key, fence=version + 1)
         self.lease = Lease(key, version + 1, asked + self._lease_s)
         return True
+
+
+def _key(number: int) -> str:
+    return f"{SEAT_PREFIX}{number:05d}"
+
+
+def _number(key: str) -> int:
+    return int(key.removeprefix(SEAT_PREFIX))
--- a/dunlinnotch/daemon/__main__.py
+++ b/dunlinnotch/daemon/__main__.py
@@ -28,7 +28,7 @@
     except ConfigError as error:
         print(error, file=sys.stderr)  # noqa: T201
         return EXIT_CONFIG
-    _logs.configure(level=config.logs.level)
+    _logs.configure(level=config.logs.level, decisions_per_s=config.logs.decisions_per_s)
     box = Box(config)
 
     def stop(*_: object) -> None:
--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -121,9 +121,8 @@
     def _log_level(self, query: dict[str, str], _body: bytes) -> object:
         level = query.get("level", "").upper()
         if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-            return Failure(
-                "level-unknown", f"level {level!r}; allowed: DEBUG, INFO, WARNING, ERROR"
-            )
+            msg = f"level {level!r}; allowed: DEBUG, INFO, WARNING, ERROR"
+            raise SettingsError(msg)
         logging.getLogger().setLevel(level)
         event(_log, "log-level", level=logging.WARNING, new=level)
         return Failure("ok", level)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -95,7 +95,7 @@
     self.leaving = False
 
 
-def _held_for_ever(self):
+def _held_for_ever(self, seats):
     return self.lease is not None
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,154 @@
+import json
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from dunlinnotch.cli.__main__ import COMMANDS, application
+from dunlinnotch.cli.common import Exit
+from dunlinnotch.standins.platform import PlatformFaults
+
+
+@pytest.fixture
+def tool(fleet):
+    """Run the tool against box-1; return exit status, output and errors."""
+    box = fleet.boxes["box-1"].operator
+
+    def run(words, *, at=box):
+        tester = ApplicationTester(application())
+        status = tester.execute(f"{words} --box {at}")
+        return status, tester.io.fetch_output(), tester.io.fetch_error()
+
+    return run
+
+
+@pytest.fixture
+def tool_json(tool, capfd):
+    def run(words):
+        status, _, errors = tool(f"{words} --json")
+        assert not errors
+        return status, json.loads(capfd.readouterr().out)
+
+    return run
+
+
+def test_set_shows_old_and_new_and_get_reads_it(tool):
+    status, out, _ = tool("settings set hall-z rank=3")
+    assert status == Exit.OK
+    assert "hall-z  rank: (inherited) -> 3" in out
+    assert "in force on all boxes" in out
+    assert tool("settings get hall-z rank")[1].strip() == "3"
+    status, out, _ = tool("settings unset hall-z rank")
+    assert "rank: 3 -> (inherited)" in out
+    assert tool("settings get hall-z rank")[1].strip() == "5"
+
+
+@pytest.mark.parametrize(
+    ("words", "exit_status", "says"),
+    [
+        ("settings set hall-z rank=77", Exit.INVALID, "less than or equal to 9"),
+        ("settings set hall-z rnak=7", Exit.INVALID, "did you mean 'rank'"),
+        ("settings set hall-z rank", Exit.INVALID, "NAME=VALUE"),
+        ("settings set a/b/c/d rank=1", Exit.INVALID, "PLACE/SERVICE/KIND"),
+        ("settings set hall-a/holdings slots=7 --base 0", Exit.CONFLICT, "hall-a/holdings"),
+    ],
+)
+def test_bad_edit_says_why_by_its_exit_status(tool, words, exit_status, says):
+    status, _, errors = tool(words)
+    assert status == exit_status
+    assert says in errors
+
+
+def test_unreachable_box_and_platform_are_unavailable(tool, fleet):
+    status, _, errors = tool("status", at="127.0.0.1:1")
+    assert status == Exit.UNAVAILABLE
+    assert "box-unreachable" in errors
+    fleet.set_platform(PlatformFaults(down=True))
+    try:
+        assert tool("settings set hall-z rank=3")[0] == Exit.UNAVAILABLE
+    finally:
+        fleet.set_platform(PlatformFaults())
+
+
+def test_lost_answers_are_unknown_and_settled_by_the_id(tool, fleet):
+    fleet.set_platform(PlatformFaults(lose_answers=99, stale=True))
+    status, _, errors = tool("settings set hall-z rank=4")
+    assert status == Exit.UNKNOWN
+    key = errors.split("--id ")[1].split()[0]
+    fleet.set_platform(PlatformFaults())
+    status, out, _ = tool(f"settings set hall-z rank=4 --id {key}")
+    assert status == Exit.OK
+    assert "accepted" in out
+
+
+def test_export_and_import(tool, tmp_path):
+    _, exported, _ = tool("settings export")
+    file = tmp_path / "tree.ini"
+    file.write_text(exported)
+    assert "nothing to change" in tool(f"settings import {file}")[1]
+    file.write_text(exported + "\n[hall-y]\nrank = 2\n")
+    assert "hall-y" in tool(f"settings import {file} --dry-run")[1]
+    assert tool(f"settings import {file}")[0] == Exit.OK
+    file.write_text(exported)
+    assert tool(f"settings import {file}")[0] == Exit.OK
+    file.write_text("no section")
+    assert tool(f"settings import {file}")[0] == Exit.INVALID
+
+
+def test_reads_as_json(tool_json):
+    assert tool_json("status")[1]["box"] == "box-1"
+    assert tool_json("settings show")[1]["version"] >= 1
+    assert tool_json("settings history")[1][-1]["author"]
+    assert tool_json("settings get hall-a/holdings slots")[1]["name"] == "slots"
+    assert {row["name"] for row in tool_json("box list")[1]} >= {"box-1", "box-2"}
+    assert tool_json("explain hall-a/holdings")[1][0]["name"] == "state"
+
+
+def test_explain_names_the_source_and_the_targets(tool, fleet):
+    _, out, _ = tool("explain hall-a/holdings/lookup")
+    assert "*/holdings/lookup" in out
+    assert fleet.targets[0].address in out
+
+
+def test_target_drain_and_resume(tool, fleet):
+    address = fleet.targets[0].address
+    assert tool(f"target drain {address}")[0] == Exit.OK
+    _, out, _ = tool("explain hall-a/holdings")
+    assert address not in out.split("target ")[-1]
+    assert tool(f"target resume {address}")[0] == Exit.OK
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[box]\nname = a\n", "[box] place: missing"),
+        ("[boxes]\n", "Did you mean 'box'?"),
+        ("[limits]\nhead_mss = 3\n", "Did you mean 'head_ms'?"),
+        ("[limits]\nhead_ms = soon\n", "head_ms = 'soon'"),
+        ("[box]\ncaller = example.org:80\n", "IP number"),
+        ("nonsense", "no section headers"),
+    ],
+)
+def test_check_names_section_key_value_and_what_is_allowed(tmp_path, text, says):
+    file = tmp_path / "box.ini"
+    file.write_text(text)
+    tester = ApplicationTester(application())
+    assert tester.execute(f"check {file}") == Exit.INVALID
+    assert says in tester.io.fetch_error()
+
+
+def test_check_passes_a_good_file(fleet):
+    tester = ApplicationTester(application())
+    assert tester.execute(f"check {fleet.boxes['box-1'].settings}") == Exit.OK
+
+
+def test_every_command_has_an_example():
+    for command in COMMANDS:
+        assert "Example:" in command.help, command.name
+
+
+def test_log_level_is_changed_while_running(tool):
+    assert tool("log-level DEBUG")[0] == Exit.OK
+    assert tool("log-level INFO")[0] == Exit.OK
+    status, _, errors = tool("log-level LOUD")
+    assert status == Exit.INVALID
+    assert "DEBUG, INFO, WARNING, ERROR" in errors
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -32,7 +32,7 @@
     assert paused.renew(1)
     assert not other.renew(1)
     clock.advance(64.0)
-    assert not paused.held()
+    assert not paused.held(1)
     assert other.renew(1)
     assert other.lease.fence > paused.lease.fence
     assert not paused.renew(1)
@@ -101,3 +101,10 @@
     budget = ProbeBudget()
     settings = Settings(probe_rate=2, boxes_max=2)
     assert [budget.take("t", settings, float(s)) for s in range(4)] == [False, True, False, False]
+
+
+def test_seat_that_is_no_more_is_given_up_at_once(platform, clock):
+    holders = [holder(platform, clock, f"box-{n}") for n in range(3)]
+    assert all(h.renew(3) for h in holders)
+    assert sum(h.held(1) for h in holders) == 1
+    assert sum(h.renew(1) for h in holders) == 1
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for the project itself."""
