--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -8,7 +8,7 @@
 
 from dunlinnotch import _codec
 from dunlinnotch._logs import event
-from dunlinnotch.errors import DunlinnotchError
+from dunlinnotch.errors import DunlinnotchError, SettingsError
 from dunlinnotch.protocol.operator import EditRequest, Explained, Failure, Status, TargetNow
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.schema import FIELD_NAMES
