Never take an answer whose head was cut for a whole one

A length beside chunks was passed on to the caller with a body of another size. Ruled out: checking the length alone (a head cut inside its last number). Change: the head is looked at until it is whole before http.client reads it; answers with neither length nor chunks, interim answers and heads over 64 KiB are broken; a length beside chunks is dropped. Further proofs: boxes deaf on one side, boxes cut in halves, joins in a burst, paused probers, a place stopped under an upload.

--- a/dunlinnotch/transport/targets.py
+++ b/dunlinnotch/transport/targets.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import contextlib
+import re
 import select
+import socket
 import threading
 import time
 from collections import deque
@@ -49,6 +51,10 @@
 #: Longest time to wait for the next part of an answer's body.
 BODY_S = 30.0
 _REFUSAL_BYTES = 64 * 1024
+#: Largest head of an answer.
+HEAD_BYTES = 64 * 1024
+_BODILESS = frozenset({204, 304})
+_INTERIM = re.compile(rb"HTTP/1\.[01] 1")
 
 
 @dataclass(slots=True)
@@ -236,11 +242,43 @@
         return headers
 
     def _await_head(self, conn: HTTPConnection, call: Call, watch: CallerWatch) -> Broken | None:
-        """Wait for the answer's first byte, the caller's end or the deadline."""
+        """Wait for a whole head, the caller's end or the deadline.
+
+        ``http.client`` takes a head that was cut for a whole one, so the head
+        is looked at before it is read.
+        """
         if conn.sock is None:
             return Broken(Reason.TARGET_BROKEN, "the target closed the connection")
+        seen = 0
+        try:
+            while True:
+                waited = self._await_more(conn.sock, seen + 1, call, watch)
+                if waited is not None:
+                    return waited
+                head = conn.sock.recv(HEAD_BYTES, socket.MSG_PEEK)
+                if b"\r\n\r\n" in head:
+                    break
+                if len(head) == seen:
+                    return Broken(Reason.TARGET_BROKEN, f"cut after {seen} bytes of the head")
+                seen = len(head)
+                if seen >= HEAD_BYTES:
+                    return Broken(Reason.TARGET_BROKEN, f"a head of over {HEAD_BYTES} bytes")
+            if seen:
+                _wake_at(conn.sock, 1)
+        except OSError as error:
+            return Broken(Reason.TARGET_BROKEN, f"no answer: {error}")
+        if _INTERIM.match(head):
+            return Broken(Reason.TARGET_BROKEN, "interim answers (1xx) are not taken")
+        return None
+
+    def _await_more(
+        self, sock: socket.socket, size: int, call: Call, watch: CallerWatch
+    ) -> Broken | None:
+        """Wait until ``size`` bytes, or the end, have come from the target."""
+        if size > 1:
+            _wake_at(sock, size)
         poller = select.poll()
-        poller.register(conn.sock, select.POLLIN)
+        poller.register(sock, select.POLLIN)
         caller = watch.fileno()
         if caller is not None:
             poller.register(caller, select.POLLIN)
@@ -248,8 +286,8 @@
             left = call.deadline - self._clock()
             if left <= 0:
                 return Broken(Reason.DEADLINE_EXPIRED, "the target did not answer in time")
-            ready = [fd for fd, _ in poller.poll(left * 1000)]
-            if conn.sock.fileno() in ready:
+            ready = [descriptor for descriptor, _ in poller.poll(left * 1000)]
+            if sock.fileno() in ready:
                 return None
             if caller in ready:
                 if watch.gone():
@@ -265,6 +303,8 @@
         *,
         whole_request: bool,
     ) -> AttemptResult:
+        if not _bounded(call, response):
+            return Broken(Reason.TARGET_BROKEN, "the answer has neither length nor chunks")
         marked = response.headers.get(http.CALL_ID)
         if marked is not None and marked != call.call_id:
             return Broken(
@@ -292,6 +332,18 @@
         body.close(whole=whole)
 
 
+def _wake_at(sock: socket.socket, size: int) -> None:
+    """Have the socket count as readable only once it holds ``size`` bytes, or its end."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+
+
+def _bounded(call: Call, response: HTTPResponse) -> bool:
+    """Return whether the end of an answer's body can be told from a cut."""
+    if call.method == "HEAD" or response.status in _BODILESS:
+        return True
+    return bool(response.chunked) or response.headers.get("content-length") is not None
+
+
 def _sent_body(call: Call, body: RequestBody) -> Iterator[bytes] | None:
     if call.length == 0:
         return None
@@ -320,7 +372,7 @@
         (Header(name, value) for name, value in response.headers.items()), http.OWN_ANSWER
     )
     length = response.headers.get("content-length")
-    known = length is not None and length.isdigit()
+    known = length is not None and length.isdigit() and not response.chunked
     return AnswerHead(
         response.status, response.reason or "", headers, int(length or 0) if known else None
     )
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -68,6 +68,16 @@
     world.cut.add(box or "box-0")
 
 
+def _deaf(world, box, _target):
+    """The box is heard and hears nobody."""
+    world.deaf.add(box or "box-0")
+
+
+def _halves(world, box, _target):
+    """The box, and whoever starts later, can't hear the rest, nor be heard by it."""
+    world.split.add(box or "box-0")
+
+
 def _cut_off(world, box, _target):
     world.cut.add(box or "box-0")
     world.cut_from_table.add(box or "box-0")
@@ -102,6 +112,8 @@
     "box frozen, then resumed": _pause(20.0),
     "box cut from peers": _cut_from_peers,
     "box cut from peers and table": _cut_off,
+    "box heard, but hears no peer": _deaf,
+    "boxes cut in two halves": _halves,
 }
 
 PAIRS = (
@@ -120,6 +132,8 @@
     ("lease lapses while its holder is paused", "list lags, a box replaced"),
     ("box frozen, then resumed", "operators race"),
     ("target answers late", "box cut from peers"),
+    ("box heard, but hears no peer", "table down"),
+    ("boxes cut in two halves", "operators race"),
 )
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,9 @@
 """Kill, freeze and cut real processes."""
 
+import json
 import signal
+import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -112,3 +115,41 @@
     results = [lookup(client) for _ in range(4)]
     assert all(r.outcome is Outcome.ANSWERED or r.status in (0, 502) for r in results)
     assert results[-1].outcome is Outcome.ANSWERED
+
+
+def test_place_is_stopped_under_an_upload_and_callers_with_old_answers(three):
+    box = three.boxes["box-2"]
+    three.edit("box-1", Change("/", "keep_s", "0.5"), Change("/", "cut_off_s", "5"))
+    client = CallerClient([box.caller], caller="c", place="hall-b")
+    entry = next(e for e in client.addresses().addresses if e.box == "box-2")
+    go_on, total = threading.Event(), 20
+    headers = {"Dunlinnotch-Service": "holdings", "Dunlinnotch-Kind": "lookup"}
+
+    def parts():
+        for number in range(total):
+            yield b"x" * 1000
+            if number == total // 2:
+                assert go_on.wait(20.0)
+
+    def upload():
+        return three.http.request(
+            "POST", f"http://{box.caller}/up", body=parts(), headers=headers, timeout=30.0
+        )
+
+    with ThreadPoolExecutor(1) as pool:
+        uploading = pool.submit(upload)
+        status = three.operator("box-2").status
+        wait_until(lambda: status().in_flight, what="the upload runs")
+        three.edit("box-1", Change("hall-b", "state", "stopped"))
+        drain = wait_until(lambda: status().drain.phase != "none" and status().drain, what="drain")
+        request = Request("holdings", "lookup", deadline_s=5.0)
+        while drain.phase == "waiting-for-answers":
+            assert client.send(request, entry, None).outcome is Outcome.ANSWERED
+            drain = status().drain
+        assert (drain.phase, drain.calls) == ("waiting-for-calls", 1)
+        go_on.set()
+        answer = uploading.result()
+    assert json.loads(answer.data)["size"] == total * 1000
+    wait_until(lambda: box.process.popen.poll() is not None, what="box-2 has ended")
+    assert box.process.popen.returncode == 0
+    assert lookup(CallerClient([three.boxes["box-1"].caller], caller="d")).box in ("box-1", "box-3")
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,7 +7,7 @@
 from dunlinnotch.state.schema import RunState
 from dunlinnotch.state.tree import Change, Edit
 from tests.matrix import check, setup
-from tests.world import CUT_OFF_S, World
+from tests.world import BOXES_MAX, CUT_OFF_S, LEASE_S, World
 
 
 @pytest.fixture
@@ -154,3 +154,51 @@
         record = core.directory.pool("holdings").find(target.address)
         assert record is None or record.leaving
     settled(world)
+
+
+def test_box_that_is_heard_but_hears_nobody_stops_and_keeps_an_edit_pending(world):
+    world.deaf.add("box-1")
+    world.cut_from_table.add("box-1")
+    assert world.edit("box-0", Change("hall-a", "rank", "3"), rounds=3) is EditStatus.PENDING
+    for _ in range(int(CUT_OFF_S) + 2):
+        world.tick()
+    assert world.boxes["box-1"].gate.refusal().reason is Reason.CUT_OFF
+    settled(world)
+    assert set(rank(world).values()) == {3}
+
+
+def test_halves_cut_from_each_other_accept_nothing_behind_the_others_back(world):
+    world.start_box("box-2", "hall-a")
+    world.start_box("box-3", "hall-b")
+    world.list_boxes()
+    world.tick()
+    world.split = {"box-1", "box-3"}
+    world.cut_from_table = {"box-1", "box-3"}
+    assert world.edit("box-0", Change("hall-a", "rank", "3"), rounds=20) is EditStatus.PENDING
+    assert rank(world) == {"box-0": 3, "box-1": 5, "box-2": 3, "box-3": 5}
+    settled(world)
+    assert set(rank(world).values()) == {3}
+
+
+def test_boxes_that_join_in_a_burst_stay_within_the_probe_budget(world):
+    world.store.set_faults(PlatformFaults(list_frozen=True))
+    for number in range(2, 8):
+        world.start_box(f"box-{number}", "hall-a")
+    for _ in range(40):
+        world.tick()
+    probed = [len(target.probes) for target in world.targets.values()]
+    assert any(probed)
+    settled(world)
+
+
+@pytest.mark.parametrize("seconds", [LEASE_S * 0.5, LEASE_S * 1.1, LEASE_S * 3])
+def test_prober_that_was_paused_never_spends_anothers_share(world, seconds):
+    world.start_box("box-2", "hall-a")
+    for _ in range(20):
+        world.tick()
+    paused = next(n for n, core in world.boxes.items() if core.seat.held(BOXES_MAX))
+    world.pause(paused, seconds)
+    world.boxes[paused].probe_gaps()
+    for _ in range(20):
+        world.tick()
+    settled(world)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,5 +1,6 @@
 """Connections to targets: what is kept, what is closed, and what is said of it."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -35,7 +36,8 @@
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
-        with sock:
+        # The client may close first; that is what some tests are about.
+        with sock, contextlib.suppress(OSError):
             while True:
                 data = b""
                 while b"\r\n\r\n" not in data:
@@ -272,3 +274,97 @@
     assert isinstance(result, Broken)
     assert result.reason is Reason.BODY_BROKEN
     assert pools.open_connections(target.address) == 0
+
+
+WHOLE = ok(b"answer", head=b"Content-Type: text/plain\r\n")
+
+
+@pytest.mark.parametrize("length", range(len(WHOLE)))
+def test_answer_cut_at_any_byte_is_never_taken_for_whole(target, length):
+    sender, pools = client()
+
+    def cut(sock):
+        sock.sendall(WHOLE[:length])
+        sock.shutdown(socket.SHUT_RDWR)
+
+    target.answers = [cut]
+    result = attempt(sender, target, make(1))
+    if isinstance(result, Answered):
+        with pytest.raises(BodyCutError):
+            read(result)
+        result.body.close(whole=False)
+    else:
+        assert isinstance(result, Broken)
+    assert pools.open_connections(target.address) == 0
+
+
+def test_target_that_closes_in_the_middle_of_a_request_leaves_it_broken(target):
+    sender, pools = client()
+    parts = (b"x" * 65536 for _ in range(400))
+
+    def close_early(sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+
+    target.answers = [close_early]
+    result = attempt(sender, target, make(1, length=400 * 65536), body=Body(*parts))
+    assert isinstance(result, Broken)
+    assert result.reason is Reason.TARGET_BROKEN
+    assert pools.open_connections(target.address) == 0
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\nall until the end",
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok(),
+        b"HTTP/1.1 200 OK\r\nX-Big: " + b"x" * 70000 + b"\r\n\r\n",
+    ],
+    ids=["no-length", "interim", "large-head"],
+)
+def test_answer_whose_end_can_not_be_known_is_broken(target, answer):
+    sender, _ = client()
+
+    def send_and_close(sock):
+        sock.sendall(answer)
+        sock.shutdown(socket.SHUT_RDWR)
+
+    target.answers = [send_and_close]
+    assert isinstance(attempt(sender, target, make(1)), Broken)
+
+
+def test_length_beside_chunks_is_not_passed_on(target):
+    sender, _ = client()
+    both = b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\nTransfer-Encoding: chunked\r\n\r\n"
+    target.answers = [both + b"5\r\nhello\r\n0\r\n\r\n"]
+    result = attempt(sender, target, make(1))
+    assert result.head.length is None
+    assert read(result) == b"hello"
+
+
+def test_head_that_comes_in_pieces_is_waited_for(target):
+    sender, _ = client()
+    whole = ok(b"pieces")
+
+    def in_pieces(sock):
+        for at in range(len(whole)):
+            sock.sendall(whole[at : at + 1])
+            time.sleep(0.001)
+
+    target.answers = [in_pieces, ok(b"next")]
+    assert read(attempt(sender, target, make(1))) == b"pieces"
+    assert read(attempt(sender, target, make(2))) == b"next"
+
+
+def test_head_that_never_ends_is_given_up_at_the_deadline(target):
+    sender, _ = client()
+
+    def half(sock):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nX-Half: ")
+        target.go_on.wait(5.0)
+
+    target.answers = [half]
+    result = attempt(sender, target, make(1, seconds=0.1))
+    target.go_on.set()
+    assert isinstance(result, Broken)
+    assert result.reason is Reason.DEADLINE_EXPIRED
--- a/tests/world.py
+++ b/tests/world.py
@@ -204,6 +204,8 @@
         self.paused = set()
         self.busy = set()
         self.cut = set()
+        self.deaf = set()
+        self.split = set()
         self.cut_from_table = set()
         self.table_slow = False
         self.incarnations = Counter()
@@ -341,14 +343,23 @@
         for _ in range(2):
             for one in sorted(self.active()):
                 for other in sorted(self.active()):
-                    if one < other and not {one, other} & self.cut:
+                    if one < other and self._linked(one, other):
                         self._turn(one, other)
 
+    def _linked(self, one, other):
+        halves = (one in self.split) != (other in self.split)
+        return not {one, other} & self.cut and not halves
+
     def _turn(self, one, other):
+        if {one, other} & self.deaf:
+            # A link on which an answer is missing is opened anew, with nothing remembered.
+            self.links.pop((one, other), None)
         ours, theirs = self.links.setdefault((one, other), (LinkState(), LinkState()))
         left, right = self.boxes[one].membership, self.boxes[other].membership
-        right.take(left.turn(ours), theirs)
-        left.take(right.turn(theirs), ours)
+        if other not in self.deaf:
+            right.take(left.turn(ours), theirs)
+        if one not in self.deaf:
+            left.take(right.turn(theirs), ours)
 
     def list_boxes(self):
         self.store.set_boxes(tuple(ListedBox(name, name) for name in self.boxes))
@@ -484,6 +495,8 @@
         self.store.set_faults(replace(faults, list_frozen=False))
         self.table_slow = False
         self.cut.clear()
+        self.deaf.clear()
+        self.split.clear()
         self.cut_from_table.clear()
         for target in self.targets.values():
             target.thaw()
@@ -525,7 +538,7 @@
             return Broken(Reason.TARGET_BROKEN, "closed before it ran")
         if target.leaving_since is not None:
             known_s = world.clock() - target.tell(world.clock())
-            if known_s > LEAVING_S and self._box not in world.cut:
+            if known_s > LEAVING_S and self._box not in world.cut | world.deaf | world.split:
                 target.new_while_leaving.append(self._box)
             return Refused("draining", LoadReport(0, leaving=True, incarnation="1"))
         if target.mode == "refuse":
