Split the server module; answers to bad heads are typed

Change: transport/heads.py, transport/exchange.py and transport/server.py, a HeadRefusal value; behaviour is the same, and so are the tests.

--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -13,13 +13,12 @@
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.schema import FIELD_NAMES
 from dunlinnotch.state.tree import check_path
+from dunlinnotch.transport.server import HeadRefusal
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from dunlinnotch.daemon.box import Box
     from dunlinnotch.protocol.outcome import Reason
-    from dunlinnotch.transport.server import Exchange
+    from dunlinnotch.transport.exchange import Exchange
 
 _JSON = Header("Content-Type", "application/json")
 _BODY_MAX = 4 * 1024 * 1024
@@ -60,9 +59,9 @@
         except DunlinnotchError as error:
             self._send(exchange, 400, Failure(error.code, str(error)))
 
-    def bad_head(self, reason: Reason, detail: str) -> tuple[int, Sequence[Header], bytes]:
+    def bad_head(self, reason: Reason, detail: str) -> HeadRefusal:
         """Return the answer to a head that can't be used."""
-        return 400, [_JSON], _codec.to_json(Failure(reason.value, detail))
+        return HeadRefusal(400, [_JSON], _codec.to_json(Failure(reason.value, detail)))
 
     @staticmethod
     def _send(exchange: Exchange, status: int, value: object) -> None:
--- a/dunlinnotch/standins/common.py
+++ b/dunlinnotch/standins/common.py
@@ -9,21 +9,20 @@
 from dunlinnotch import _codec
 from dunlinnotch.errors import DunlinnotchError
 from dunlinnotch.state.heads import Header
-from dunlinnotch.transport.server import HttpServer
+from dunlinnotch.transport.server import HeadRefusal, HttpServer
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from dunlinnotch.protocol.outcome import Reason
-    from dunlinnotch.transport.server import Exchange, Handler
+    from dunlinnotch.transport.exchange import Exchange
+    from dunlinnotch.transport.server import Handler
     from dunlinnotch.types import Address
 
 JSON = Header("Content-Type", "application/json")
 
 
-def bad_head(reason: Reason, detail: str) -> tuple[int, Sequence[Header], bytes]:
+def bad_head(reason: Reason, detail: str) -> HeadRefusal:
     """Return the answer to a head that can't be used."""
-    return 400, [JSON], f"{reason}: {detail}".encode()
+    return HeadRefusal(400, [JSON], f"{reason}: {detail}".encode())
 
 
 def serve(handler: Handler, address: Address) -> HttpServer:
--- a/dunlinnotch/standins/platform.py
+++ b/dunlinnotch/standins/platform.py
@@ -19,7 +19,7 @@
 from dunlinnotch.standins.common import body_of, guarded, run_until_signal, send, serve
 
 if TYPE_CHECKING:
-    from dunlinnotch.transport.server import Exchange
+    from dunlinnotch.transport.exchange import Exchange
 
 
 @_codec.wire
--- a/dunlinnotch/standins/target.py
+++ b/dunlinnotch/standins/target.py
@@ -26,7 +26,7 @@
 from dunlinnotch.transport.probes import HEALTH_PATH
 
 if TYPE_CHECKING:
-    from dunlinnotch.transport.server import Exchange
+    from dunlinnotch.transport.exchange import Exchange
 
 MARK = "X-Mark"
 #: Bytes of filler that a caller asks for in the answer.
--- a/dunlinnotch/transport/front.py
+++ b/dunlinnotch/transport/front.py
@@ -15,13 +15,14 @@
 from dunlinnotch.protocol.http import Call
 from dunlinnotch.protocol.outcome import CallResult, Outcome, Reason
 from dunlinnotch.state.heads import AnswerHead, Header
+from dunlinnotch.transport.server import HeadRefusal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterator
 
     from dunlinnotch.protocol.answers import AddressAnswer
     from dunlinnotch.protocol.attempt import CallerWatch, ReplySink, RequestBody
-    from dunlinnotch.transport.server import Exchange
+    from dunlinnotch.transport.exchange import Exchange
     from dunlinnotch.types import Address, Clock, Seconds, Version
 
 #: Bodies up to this size are read whole, so that a call may be tried again.
@@ -147,11 +148,11 @@
         elif not result.begun and result.reason is not Reason.CALLER_GONE:
             self._refuse(exchange, result, call)
 
-    def bad_head(self, reason: Reason, detail: str) -> tuple[int, Sequence[Header], bytes]:
+    def bad_head(self, reason: Reason, detail: str) -> HeadRefusal:
         """Return the answer to a head that can't be used."""
         result = CallResult(Outcome.NOT_RUN, _STATUS_OF.get(reason, _BAD_REQUEST), reason, detail)
         event(_log, "refused", reason=reason, detail=detail)
-        return result.status, self._refusal_headers(result), _codec.to_json(result)
+        return HeadRefusal(result.status, self._refusal_headers(result), _codec.to_json(result))
 
     def _own_path(self, exchange: Exchange) -> None:
         url = urlsplit(exchange.path)
--- a/dunlinnotch/transport/targets.py
+++ b/dunlinnotch/transport/targets.py
@@ -32,7 +32,7 @@
 )
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.state.heads import AnswerHead, Header
-from dunlinnotch.transport.server import peer_closed
+from dunlinnotch.transport.exchange import peer_closed
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -5,12 +5,12 @@
 from dunlinnotch.protocol.http import OUTCOME, REASON
 from dunlinnotch.protocol.outcome import CallResult, Outcome
 from dunlinnotch.state.heads import Header
-from dunlinnotch.transport.server import HEAD_BYTES, HttpServer
+from dunlinnotch.transport.server import HEAD_BYTES, HeadRefusal, HttpServer
 
 
 def bad_head(reason, detail):
     result = CallResult(Outcome.NOT_RUN, 400, reason, detail)
-    return 400, [Header(OUTCOME, result.outcome), Header(REASON, reason)], b""
+    return HeadRefusal(400, [Header(OUTCOME, result.outcome), Header(REASON, reason)], b"")
 
 
 @pytest.fixture
