Survive a bad row, a bad seat and an edit of another release

Cause: reading the threads of a daemon: whatever is raised there ends the process by intent, but a row of the table that can't be read, a seat's row, or an edit with a setting that this release does not know raised through them, so one bad row would have ended every box. On a link it ended the thread silently. Ruled out: passing over the bad edit, since a version must never be skipped. Change: an unreadable table counts as unavailable, with the cause in the log and in the operator's answer; an unreadable seat is nobody's to take; a link with an odd message is closed and logged. A caller's broken body at the operator port is a refusal with a code; cheroot's own messages are JSON lines.

--- a/dunlinnotch/cli/common.py
+++ b/dunlinnotch/cli/common.py
@@ -14,7 +14,7 @@
 from cleo.helpers import option
 
 from dunlinnotch import _codec
-from dunlinnotch.errors import BoxUnreachableError, DunlinnotchError
+from dunlinnotch.errors import BoxUnreachableError, DunlinnotchError, SettingsError
 from dunlinnotch.protocol.operator import EDIT_WAIT_S, EditRequest
 from dunlinnotch.protocol.outcome import EditStatus
 from dunlinnotch.state.tree import Change, Edit
@@ -125,10 +125,10 @@
             change.check()
         client = self.client()
         tree = client.tree()
-        base = int(self.option("base") or tree.version)
+        base = int(self._number("base")) if self.option("base") else tree.version
         edit_id = self.option("id") or uuid.uuid4().hex
         edit = Edit(edit_id, base, getpass.getuser(), tuple(changes))
-        result = client.edit(EditRequest(edit, float(self.option("wait"))))
+        result = client.edit(EditRequest(edit, self._number("wait")))
         if self.option("json"):
             self.print_json(result)
             return _EXIT_OF[result.status]
@@ -139,6 +139,14 @@
         self._say(result, edit_id)
         return _EXIT_OF[result.status]
 
+    def _number(self, name: str) -> float:
+        text = self.option(name)
+        try:
+            return float(text or 0)
+        except ValueError:
+            msg = f"--{name} {text!r} is not a number"
+            raise SettingsError(msg) from None
+
     def _say(self, result: EditResult, edit_id: str) -> None:
         if result.status is EditStatus.ACCEPTED:
             self.line(f"<info>accepted</info> as version {result.version}, in force on all boxes")
--- a/dunlinnotch/coordination/seats.py
+++ b/dunlinnotch/coordination/seats.py
@@ -15,7 +15,7 @@
 from dunlinnotch import _codec
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.subset import rank_hash
-from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.errors import PlatformUnavailableError, ProtocolError
 from dunlinnotch.protocol.platform import Check, Put, Transaction, TransactResult
 from dunlinnotch.state.lease import Lease
 from dunlinnotch.types import Seconds
@@ -132,7 +132,9 @@
         return self._take(self.lease.key, row)
 
     def _own(self, row: Row) -> bool:
-        value = _codec.from_json(SeatValue, row.value.encode())
+        value = _seat_value(row)
+        if value is None:
+            return False
         return (value.box, value.incarnation) == (self._box, self._incarnation)
 
     def _rows(self) -> list[Row]:
@@ -153,7 +155,9 @@
         """Return whether a seat is empty, ours, or lapsed for certain."""
         if row is None or self._own(row):
             return True
-        value = _codec.from_json(SeatValue, row.value.encode())
+        value = _seat_value(row)
+        if value is None:
+            return False
         # The holder's lease began before the row was written, so before this box saw it.
         unchanged = self._clock() - self._seen[key].at
         return unchanged > value.lease_s * (1.0 + _DRIFT)
@@ -173,6 +177,15 @@
         return True
 
 
+def _seat_value(row: Row) -> SeatValue | None:
+    """Return what a seat's row says, or None if it can't be read."""
+    try:
+        return _codec.from_json(SeatValue, row.value.encode())
+    except ProtocolError as error:
+        event(_log, "seat-unreadable", level=logging.ERROR, seat=row.key, detail=str(error))
+        return None
+
+
 def _key(number: int) -> str:
     return f"{SEAT_PREFIX}{number:05d}"
 
--- a/dunlinnotch/coordination/settings.py
+++ b/dunlinnotch/coordination/settings.py
@@ -134,7 +134,12 @@
         row = self._platform.read(HEAD_KEY)
         head = _head_version(row)
         self.head_row_version = row.version if row is not None else 0
-        moved = self._catch_up(head)
+        try:
+            moved = self._catch_up(head)
+        except (ProtocolError, SettingsError) as error:
+            # One bad row must not end every box that reads it.
+            msg = f"the settings in the table can't be read: {error}"
+            raise PlatformUnavailableError(msg) from None
         self.read_at = asked
         return moved
 
--- a/dunlinnotch/transport/peers.py
+++ b/dunlinnotch/transport/peers.py
@@ -18,7 +18,7 @@
 
 from dunlinnotch import _codec
 from dunlinnotch._logs import event
-from dunlinnotch.errors import ProtocolError
+from dunlinnotch.errors import DunlinnotchError, ProtocolError
 from dunlinnotch.protocol.peers import LinkState, Sync
 
 if TYPE_CHECKING:
@@ -123,8 +123,10 @@
             while (sync := stream.receive()) is not None:
                 self._membership.take(sync, link)
                 self.sent_bytes += stream.send(self._membership.turn(link))
-        except (OSError, ProtocolError) as error:
+        except OSError as error:
             event(_log, "link-ended", level=logging.DEBUG, detail=str(error))
+        except DunlinnotchError as error:
+            event(_log, "link-refused", level=logging.ERROR, code=error.code, detail=str(error))
         finally:
             self._socks.discard(sock)
             sock.close()
@@ -236,7 +238,7 @@
     def run(self) -> None:
         """Connect, take turns until the link breaks, wait, and connect again."""
         wait = wait_exponential_jitter(
-            initial=_FIRST_WAIT_S, max=_LONGEST_WAIT_S, jitter=_FIRST_WAIT_S
+            multiplier=_FIRST_WAIT_S, max=_LONGEST_WAIT_S, jitter=_FIRST_WAIT_S
         )
         failures = 0
         while not self._closed.is_set():
@@ -256,8 +258,17 @@
                     turns += 1
                     self.due.wait(self._links.heartbeat_s)
                     self.due.clear()
-        except (OSError, ProtocolError) as error:
+        except OSError as error:
             event(_log, "link-broken", level=logging.DEBUG, peer=self.address, detail=str(error))
+        except DunlinnotchError as error:
+            event(
+                _log,
+                "link-refused",
+                level=logging.ERROR,
+                peer=self.address,
+                code=error.code,
+                detail=str(error),
+            )
         return turns > 0
 
 
--- a/dunlinnotch/transport/server.py
+++ b/dunlinnotch/transport/server.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 import re
 import select
 import socket
@@ -19,7 +20,7 @@
 
 from cheroot import server as cheroot_server
 
-from dunlinnotch.protocol.attempt import CallerGoneError
+from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.state.heads import Header
 from dunlinnotch.transport.exchange import CHUNK, Exchange, peer_closed
@@ -43,6 +44,7 @@
 _DRAIN_BYTES = 256 * 1024
 _SWALLOW_S = 0.2
 
+_log = logging.getLogger(__name__)
 _URI = re.compile(rb"^[\x21-\x7e]+$")
 
 
@@ -160,6 +162,9 @@
             request.server.handler(exchange)
         except CallerGoneError:
             exchange.cut()
+        except BodyCutError as error:
+            exchange.cut()
+            request.conn.refuse(Reason.BODY_BROKEN, str(error))
         request.close_connection = not exchange.reusable
         if exchange.refused_early:
             request.conn.swallow()
@@ -232,6 +237,10 @@
         self._closed.set()
         self.stop()
 
+    def error_log(self, msg: str = "", level: int = logging.INFO, traceback: bool = False) -> None:
+        """Log what cheroot has to say as a JSON line like any other."""
+        _log.log(level, msg, exc_info=traceback)
+
     def process_conn(self, conn: ServerConnection) -> None:
         """Serve a new connection on a thread of its own."""
         with self._live_lock:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -52,6 +52,7 @@
         ("settings set hall-z rank=77", Exit.INVALID, "less than or equal to 9"),
         ("settings set hall-z rnak=7", Exit.INVALID, "did you mean 'rank'"),
         ("settings set hall-z rank", Exit.INVALID, "NAME=VALUE"),
+        ("settings set hall-z rank=1 --base new", Exit.INVALID, "--base 'new'"),
         ("settings set a/b/c/d rank=1", Exit.INVALID, "PLACE/SERVICE/KIND"),
         ("settings set hall-a/holdings slots=7 --base 0", Exit.CONFLICT, "hall-a/holdings"),
     ],
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
@@ -108,3 +110,14 @@
     assert all(h.renew(3) for h in holders)
     assert sum(h.held(1) for h in holders) == 1
     assert sum(h.renew(1) for h in holders) == 1
+
+
+def test_seat_row_that_can_not_be_read_is_nobodys_to_take(platform, clock):
+    own, other = holder(platform, clock, "a"), holder(platform, clock, "b")
+    own.renew(1)
+    row = platform.store.rows[own.lease.key]
+    platform.store.rows[row.key] = replace(row, value="nonsense", version=row.version + 1)
+    assert not other.renew(1)
+    clock.advance(70.0)
+    assert not own.renew(1)
+    assert not other.renew(1)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,9 @@
+from dataclasses import replace
+
 import pytest
 
 from dunlinnotch.coordination.settings import SettingsEditor, SettingsFollower, SettingsHolder
+from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.protocol.outcome import EditStatus
 from dunlinnotch.standins.platform import PlatformFaults
 from tests import EditMaker, FakeClock, FakePlatform
@@ -105,3 +108,27 @@
     fresh.follower.poll()
     assert fresh.holder.version == 70
     assert platform.store.reads - before == 2
+
+
+@pytest.mark.parametrize("value", ["nonsense", '{"version": "x"}', "{}"])
+@pytest.mark.parametrize("key", ["settings/head", "settings/edit/000000000002"])
+def test_row_that_can_not_be_read_is_told_and_leaves_the_tree_as_it_is(platform, key, value):
+    side, reader = Side(platform), Side(platform)
+    side.edit(make("/", "rank", "1", base=0, key="a"))
+    reader.follower.poll()
+    side.edit(make("/", "rank", "2", base=1, key="b"))
+    platform.store.rows[key] = replace(platform.store.rows[key], value=value)
+    with pytest.raises(PlatformUnavailableError):
+        reader.follower.poll()
+    assert reader.holder.version == 1
+    assert reader.edit(make("/", "rank", "3", base=1, key="c")).status is EditStatus.UNAVAILABLE
+
+
+def test_edit_that_this_release_does_not_know_is_told(platform):
+    side, reader = Side(platform), Side(platform)
+    side.edit(make("/", "rank", "1", base=0, key="a"))
+    row = platform.store.rows["settings/edit/000000000001"]
+    odd = replace(row, value=row.value.replace('"rank"', '"rank-of-tomorrow"'))
+    platform.store.rows[row.key] = odd
+    with pytest.raises(PlatformUnavailableError):
+        reader.follower.poll()
