Wake the drain's thread only in a drain, and look for probes more rarely

Cause: an idle box woke 20 times a second to look at a drain that was not there, and 10 times to look for gaps that may be probed once in 9 s. Ruled out: longer heartbeats (edits would take longer than 3 s over the 7.5 links of the size designed for). Change: the drain's thread waits for a drain; gaps are looked for four times a second, slow heads twice.

--- a/dunlinnotch/coordination/drain.py
+++ b/dunlinnotch/coordination/drain.py
@@ -38,9 +38,11 @@
     front : Front
     clock : callable
 
-    Notes
-    -----
-    :meth:`advance` is to be called every few dozen milliseconds.
+    Attributes
+    ----------
+    begun : threading.Event
+        Set while a drain is under way; :meth:`advance` is then to be called
+        every few dozen milliseconds.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self._phase = DrainPhase.NONE
         self._answers_until: Seconds = 0.0
         self._lock = threading.Lock()
+        self.begun = threading.Event()
 
     @property
     def phase(self) -> DrainPhase:
@@ -77,6 +80,7 @@
             if self._phase is not DrainPhase.NONE:
                 return
             self._phase = DrainPhase.ANSWERS
+            self.begun.set()
             self._answers_until = self._clock() + longest_answer
             self._membership.refresh_own(state=RunState.DRAINING)
         event(_log, "drain-started", answers_s=longest_answer, calls=self._gate.in_flight)
@@ -87,6 +91,7 @@
             if self._phase is not DrainPhase.ANSWERS:
                 return
             self._phase = DrainPhase.NONE
+            self.begun.clear()
             self._membership.refresh_own(state=RunState.RUNNING)
         event(_log, "drain-called-off")
 
--- a/dunlinnotch/daemon/box.py
+++ b/dunlinnotch/daemon/box.py
@@ -34,7 +34,7 @@
 #: How often waiting calls are looked at while some wait, in seconds.
 _PUMP_S = 0.005
 #: How often the prober looks for gaps, in seconds.
-_PROBE_LOOK_S = 0.1
+_PROBE_LOOK_S = 0.25
 #: How often a drain looks whether it may go on, in seconds.
 _DRAIN_LOOK_S = 0.05
 #: A box that is no reader reads the table this many times more rarely.
@@ -246,9 +246,11 @@
             self.core.probe_gaps()
 
     def _advance_drain(self) -> None:
-        while not self._stopped.wait(_DRAIN_LOOK_S):
+        while not self._stopped.is_set():
+            self.core.drain.begun.wait()
             if self.core.drain.advance() is DrainPhase.DONE:
                 self._stopped.set()
+            self._stopped.wait(_DRAIN_LOOK_S)
 
     def _keep_seat(self) -> None:
         while not self._stopped.is_set():
--- a/dunlinnotch/transport/server.py
+++ b/dunlinnotch/transport/server.py
@@ -35,7 +35,7 @@
 #: Largest request line and head together, in bytes.
 HEAD_BYTES = 32 * 1024
 #: How often slow heads are looked for, in seconds.
-_JANITOR_S = 0.25
+_JANITOR_S = 0.5
 #: How long a thread waits on an idle connection before it looks around, in seconds.
 _IDLE_LOOK_S = 1.0
 #: How long one write may wait for a caller that does not read, in seconds.
