--- a/dunlinnotch/coordination/core.py
+++ b/dunlinnotch/coordination/core.py
@@ -16,7 +16,7 @@
 from dunlinnotch.coordination.gate import WorkGate
 from dunlinnotch.coordination.membership import Membership
 from dunlinnotch.coordination.once import OnceGuard
-from dunlinnotch.coordination.probes import ProbeBudget
+from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
 from dunlinnotch.coordination.router import Router
 from dunlinnotch.coordination.seats import LEASE_S, SeatHolder
 from dunlinnotch.coordination.settings import SettingsEditor, SettingsFollower, SettingsHolder
@@ -232,6 +232,18 @@
         """Renew the probe seat; return whether one is held."""
         return self.seat.renew(self.holder.tree.effective("/").boxes_max)
 
+    def probes_allowed(self) -> float:
+        """Return the probes a second that the budget lets this box send now."""
+        tree = self.holder.tree
+        return sum(
+            probes_per_second(settings)
+            for pool in self.directory.pools()
+            for target in pool.records()
+            if self.seat.held(
+                (settings := tree.effective(f"{target.place}/{pool.service}")).boxes_max
+            )
+        )
+
     def probe_gaps(self) -> None:
         """Probe targets that calls tell nothing of, within the budget."""
         for pool in self.directory.pools():
--- a/dunlinnotch/coordination/router.py
+++ b/dunlinnotch/coordination/router.py
@@ -66,11 +66,13 @@
 class CallObserver(Protocol):
     """Is told of the end of each attempt and call, for metrics."""
 
-    def attempt_ended(self, result: AttemptResult, *, retry: bool) -> None:
-        """Note the end of an attempt."""
+    def attempt_ended(self, result: AttemptResult, *, why: str, retry: bool) -> None:
+        """Note the end of an attempt, and why its target was chosen."""
 
-    def call_ended(self, call: Call, result: CallResult, *, waited: Seconds) -> None:
-        """Note the end of a call."""
+    def call_ended(
+        self, call: Call, result: CallResult, *, waited: Seconds, at_targets: Seconds
+    ) -> None:
+        """Note the end of a call, its wait and its time with targets, in seconds."""
 
 
 class _Ending(Enum):
@@ -91,6 +93,7 @@
     watch: CallerWatch
     tried: list[Address] = field(default_factory=list)
     waited: Seconds = 0.0
+    at_targets: Seconds = 0.0
 
 
 class Router:
@@ -186,12 +189,15 @@
             return grant
         while True:
             run.tried.append(grant.choice.target.address)
+            began = self._clock()
             result = self._attempt(run, grant, settings)
             if isinstance(result, Answered):
                 ended = self._relay(run.reply, grant, result, pool)
             else:
                 ended = self._not_answered(result, grant, pool)
-            self._observer.attempt_ended(result, retry=len(run.tried) > 1)
+            run.at_targets += self._clock() - began
+            why = grant.choice.reason
+            self._observer.attempt_ended(result, why=why, retry=len(run.tried) > 1)
             self._log_choice(run, grant.choice, ended)
             if not self._may_retry(run, ended, settings):
                 return ended
@@ -336,7 +342,7 @@
             # This copy did not run, but an earlier one may have: its caller must not
             # conclude that the request can be sent anew.
             result = replace(result, outcome=Outcome.UNKNOWN)
-        self._observer.call_ended(call, result, waited=run.waited)
+        self._observer.call_ended(call, result, waited=run.waited, at_targets=run.at_targets)
         if not run.tried:
             event(
                 _log,
--- a/dunlinnotch/daemon/box.py
+++ b/dunlinnotch/daemon/box.py
@@ -226,6 +226,7 @@
         core = self.core
         age = core.membership.table_age()
         self.metrics.gauge(Metric.IN_FLIGHT, core.gate.in_flight)
+        self.metrics.gauge(Metric.PROBES_ALLOWED, core.probes_allowed())
         self.metrics.gauge(Metric.VERSION, core.holder.version)
         self.metrics.gauge(Metric.PEERS, len(core.membership.live()))
         self.metrics.gauge(Metric.DRAINING, int(core.drain.phase is not DrainPhase.NONE))
--- a/dunlinnotch/daemon/metrics.py
+++ b/dunlinnotch/daemon/metrics.py
@@ -32,10 +32,17 @@
     REFUSED = MetricInfo("refused.{reason}", "counter", "calls", "Calls not answered, by reason.")
     CALL_TIME = MetricInfo("call.time", "timer", "ms", "From the head to the end of the answer.")
     QUEUE_TIME = MetricInfo("call.queue", "timer", "ms", "Wait for a target.")
+    ADDED_TIME = MetricInfo(
+        "call.added", "timer", "ms", "Call time less the wait and the time with targets."
+    )
+    CHOICES = MetricInfo("choice.{why}", "counter", "choices", "Targets chosen, by reason.")
     ATTEMPTS = MetricInfo("attempts.{end}", "counter", "attempts", "Attempts at targets, by end.")
     RETRIES = MetricInfo("retries", "counter", "attempts", "Attempts after the first one.")
     PROBES = MetricInfo("probes.{end}", "counter", "probes", "Probes sent, by end.")
     PROBE_TIME = MetricInfo("probe.time", "timer", "ms", "Time that a probe took.")
+    PROBES_ALLOWED = MetricInfo(
+        "probes.allowed", "gauge", "1/s", "Probes that the budget lets this box send."
+    )
     IN_FLIGHT = MetricInfo("in_flight", "gauge", "calls", "Calls accepted and not ended.")
     VERSION = MetricInfo("settings.version", "gauge", "version", "Settings version in force.")
     TABLE_AGE = MetricInfo("settings.age", "gauge", "s", "Time since the table was last read.")
@@ -79,18 +86,23 @@
         if self._client is not None:
             self._client.timing(metric.value.name, seconds * 1000)
 
-    def attempt_ended(self, result: AttemptResult, *, retry: bool) -> None:
-        """Note the end of an attempt."""
+    def attempt_ended(self, result: AttemptResult, *, why: str, retry: bool) -> None:
+        """Note the end of an attempt, and why its target was chosen."""
+        self.count(Metric.CHOICES, why=why.replace("-", "_"))
         self.count(Metric.ATTEMPTS, end=_ENDS[type(result)])
         if retry:
             self.count(Metric.RETRIES)
 
-    def call_ended(self, call: Call, result: CallResult, *, waited: Seconds) -> None:
-        """Note the end of a call."""
+    def call_ended(
+        self, call: Call, result: CallResult, *, waited: Seconds, at_targets: Seconds
+    ) -> None:
+        """Note the end of a call, its wait and its time with targets, in seconds."""
         if self._client is None:
             return
         self.count(Metric.CALLS, outcome=result.outcome.replace("-", "_"))
         if result.reason is not None:
             self.count(Metric.REFUSED, reason=result.reason.replace("-", "_"))
-        self.timing(Metric.CALL_TIME, self._clock() - call.arrived)
+        took = self._clock() - call.arrived
+        self.timing(Metric.CALL_TIME, took)
+        self.timing(Metric.ADDED_TIME, max(0.0, took - waited - at_targets))
         self.timing(Metric.QUEUE_TIME, waited)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -30,12 +30,17 @@
 def test_end_of_a_call_and_an_attempt_are_counted(server, metrics):
     call = Call("c", "s", "k", "GET", "/", (), time.monotonic(), 0.0)
     result = CallResult(Outcome.NOT_RUN, 503, Reason.QUEUE_FULL)
-    metrics.call_ended(call, result, waited=0.25)
-    sent = receive(server, 4)
+    metrics.call_ended(call, result, waited=0.25, at_targets=9.0)
+    sent = receive(server, 5)
+    assert "dn.box-1.call.added:0.000000|ms" in sent
     assert {"dn.box-1.calls.not_run:1|c", "dn.box-1.refused.queue_full:1|c"} <= sent
     assert "dn.box-1.call.queue:250.000000|ms" in sent
-    metrics.attempt_ended(NotSent(Reason.CONNECT_FAILED, ""), retry=True)
-    assert receive(server, 2) == {"dn.box-1.attempts.not_sent:1|c", "dn.box-1.retries:1|c"}
+    metrics.attempt_ended(NotSent(Reason.CONNECT_FAILED, ""), why="last-resort", retry=True)
+    assert receive(server, 3) == {
+        "dn.box-1.attempts.not_sent:1|c",
+        "dn.box-1.retries:1|c",
+        "dn.box-1.choice.last_resort:1|c",
+    }
 
 
 def test_gauge(server, metrics):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -145,6 +145,8 @@
         while drain.phase == "waiting-for-answers":
             assert client.send(request, entry, None).outcome is Outcome.ANSWERED
             drain = status().drain
+        # The last lookup is counted out just after its answer has gone out.
+        drain = wait_until(lambda: status().drain.calls == 1 and status().drain, what="one call")
         assert (drain.phase, drain.calls) == ("waiting-for-calls", 1)
         go_on.set()
         answer = uploading.result()
--- a/tests/world.py
+++ b/tests/world.py
@@ -517,10 +517,10 @@
 class Observer:
     """Counts nothing."""
 
-    def attempt_ended(self, result, *, retry):
+    def attempt_ended(self, result, *, why, retry):
         pass
 
-    def call_ended(self, call, result, *, waited):
+    def call_ended(self, call, result, *, waited, at_targets):
         pass
 
 
