--- a/dunlinnotch/_codec.py
+++ b/dunlinnotch/_codec.py
@@ -16,11 +16,6 @@
 T = TypeVar("T")
 
 
-def wire(cls: type[T]) -> type[T]:
-    """Mark a dataclass whose annotations are evaluated when it is decoded."""
-    return cls
-
-
 _adapters: dict[Any, TypeAdapter[Any]] = {}
 
 
--- a/dunlinnotch/_logs.py
+++ b/dunlinnotch/_logs.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import os
 import sys
 import threading
 import time
@@ -99,7 +100,10 @@
     decisions_per_s : int, default 1000
         Most decision lines in a second; the rest are counted.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    _configure(logging.StreamHandler(sys.stderr), level, decisions_per_s)
+
+
+def _configure(handler: logging.Handler, level: str, decisions_per_s: int) -> None:
     handler.setFormatter(JsonFormatter())
     handler.addFilter(DecisionLimit(decisions_per_s))
     # A record needs neither thread, process nor source line; finding them costs time.
@@ -110,6 +114,65 @@
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
 
 
+class BoundedStream:
+    """Write lines to a descriptor without ever waiting; drop and count what it can't take.
+
+    Parameters
+    ----------
+    descriptor : int
+        Made non-blocking.
+    most : int, default 262144
+        Bytes held while the reader is slow.
+    """
+
+    def __init__(self, descriptor: int, *, most: int = 256 * 1024) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._most = most
+        self._held = bytearray()
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a text, or hold it, or drop it."""
+        data = text.encode()
+        if len(self._held) + len(data) > self._most:
+            self.dropped += 1
+            self._push()
+            return
+        self._held += data
+        self._push()
+
+    def flush(self) -> None:
+        """Write what is held, as far as the reader takes it."""
+        self._push()
+
+    def _push(self) -> None:
+        while self._held:
+            try:
+                written = os.write(self._descriptor, self._held)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._held.clear()  # Nobody reads any more.
+                return
+            del self._held[:written]
+
+
+def configure_stream(
+    stream: BoundedStream, *, level: str = "INFO", decisions_per_s: int = 200
+) -> None:
+    """Send all log records to a stream that never blocks, as JSON lines.
+
+    Parameters
+    ----------
+    stream : BoundedStream
+    level : str, default "INFO"
+    decisions_per_s : int, default 200
+        Most decision lines in a second; the rest are counted.
+    """
+    _configure(logging.StreamHandler(stream), level, decisions_per_s)
+
+
 def event(
     logger: logging.Logger, name: str, *, level: int = logging.INFO, **fields: object
 ) -> None:
--- /dev/null
+++ b/dunlinnotch/coordination/following.py
@@ -0,0 +1,152 @@
+"""Follow one table of the store while this box is one of its readers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.protocol.store import HistoryGone
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from dunlinnotch.coordination.mesh import Mesh
+    from dunlinnotch.protocol.store import TableSource
+    from dunlinnotch.state.followed import FollowedTable
+
+#: How long a follow-up call waits for a change, by the lead reader and by others, in seconds.
+WAIT_LEAD_S = 1.0
+WAIT_S = 5.0
+#: Time beyond the wait after which a follow-up call counts as hung, in seconds.
+_SLACK_S = 0.6
+#: A follow-up call is made anew if a peer knows more for this long, in seconds.
+_BEHIND_S = 0.25
+#: Time between two looks whether this box is to read, in seconds.
+_LOOK_S = 0.2
+#: Pause after a call that failed, in seconds: first and longest.
+_PAUSE_S = (0.1, 0.8)
+#: An answer is taken to hold from so long before it came, in seconds.
+_ANSWER_AGE_S = 0.3
+
+_log = logging.getLogger(__name__)
+
+
+class TableFollower:
+    """Read one table and its changes, in a task of its own.
+
+    Parameters
+    ----------
+    table : FollowedTable
+    source : TableSource
+    mesh : Mesh
+    on_news : callable
+        Called after each answer that changed the table.
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        table: FollowedTable,
+        source: TableSource,
+        mesh: Mesh,
+        *,
+        on_news: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._source = source
+        self._mesh = mesh
+        self._on_news = on_news
+        self._rng = rng
+        self._asked_after = 0
+        self._detail = ""
+        self._call: asyncio.Task[bool] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._failures = 0
+        self.failing = False
+
+    async def run(self) -> None:
+        """Follow the table whenever this box is to."""
+        while True:
+            if not self._mesh.is_reader():
+                await asyncio.sleep(_LOOK_S)
+                continue
+            if await self._turn():
+                self._well()
+            else:
+                self._failed()
+                first, longest = _PAUSE_S
+                pause = min(longest, first * 2 ** min(8, self._failures))
+                await asyncio.sleep(pause * (0.7 + 0.6 * self._rng.random()))
+
+    def look_again(self) -> None:
+        """Make the follow-up call anew if it does not tell soon what a peer has told."""
+        if self._call is not None and not self._call.done():
+            self._loop.call_later(_BEHIND_S, self._break_off, self._call)
+
+    def _break_off(self, call: asyncio.Task[bool]) -> None:
+        if self._call is call and not call.done() and self._asked_after < self._table.version:
+            call.cancel()
+
+    async def _turn(self) -> bool:
+        self._asked_after = self._table.version
+        self._call = self._loop.create_task(self._read())
+        try:
+            return await self._call
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            self._detail = "a peer knew more than a follow-up call told"
+            event(_log, "follow-up-call-hung", table=self._table.name, after=self._asked_after)
+            return False
+        finally:
+            self._call.cancel()
+
+    async def _read(self) -> bool:
+        """Make one call; return whether a usable answer came."""
+        table = self._table
+        wait = WAIT_LEAD_S if self._mesh.is_lead() else WAIT_S
+        sent = self._loop.time()
+        try:
+            if not table.known:
+                delta = await self._source.read_table(table.name)
+            else:
+                async with asyncio.timeout(wait + _SLACK_S):
+                    changes = await self._source.changes(table.name, table.version, wait)
+                if isinstance(changes, HistoryGone):
+                    event(_log, "history-gone", table=table.name, after=table.version)
+                    sent = self._loop.time()
+                    delta = await self._source.read_table(table.name)
+                else:
+                    delta = changes
+        except (PlatformUnavailableError, TimeoutError) as error:
+            self._detail = str(error) or type(error).__name__
+            return False
+        at = max(sent, self._loop.time() - _ANSWER_AGE_S)
+        if table.take(delta, at=at):
+            self._on_news()
+        return True
+
+    def _well(self) -> None:
+        if self.failing:
+            self.failing = False
+            event(_log, "store-regained", table=self._table.name, failures=self._failures)
+        self._failures = 0
+
+    def _failed(self) -> None:
+        self._failures += 1
+        if not self.failing:
+            self.failing = True
+            event(
+                _log,
+                "store-lost",
+                level=logging.WARNING,
+                table=self._table.name,
+                detail=self._detail,
+                version=self._table.version,
+            )
--- /dev/null
+++ b/dunlinnotch/coordination/fresh.py
@@ -0,0 +1,138 @@
+"""Choose a target by reports of the last milliseconds.
+
+Where a target's speed changes many times a second, what calls bring back is
+stale when it is needed.  So a few candidates are asked just before a call is
+sent; this module says whom to ask, and which of the answers is good enough.
+See ``docs/design/fresh-reports.md``.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Iterable
+
+    from dunlinnotch.state.instances import Instance
+    from dunlinnotch.types import Seconds
+
+#: A report this young is as good as a new one, in seconds.
+FRESH_S = 0.012
+#: A report says something of a target's speed for about this long, in seconds.
+USEFUL_S = 0.3
+#: Expected time, as a multiple of an idle target's, up to which a target is taken at once.
+GOOD = 1.35
+#: Failures in a row after which a target is set aside.
+_ASIDE_AFTER = 2
+#: Shortest and longest time that a target is set aside, in seconds.
+_ASIDE_S = (0.5, 4.0)
+#: Share of its slots in use above which a target's work takes longer, and how much.
+_KNEE, _KNEE_FACTOR = 0.8, 1.7
+_COLD_FACTOR = 1.6
+#: A health check that says no may lie; the target is used if no other is better.
+_ILL_FACTOR = 3.0
+#: What a target in another place is charged.
+_AWAY = 0.15
+#: Expected time of a target of which nothing is known.
+_UNKNOWN = 6.0
+
+
+def expected_time(instance: Instance, now: Seconds, *, place: str = "") -> float:
+    """Return how long work would take at a target, as a multiple of the usual time.
+
+    Parameters
+    ----------
+    instance : Instance
+    now : float
+    place : str, optional
+        The asking box's; targets elsewhere are charged for the way.
+
+    Returns
+    -------
+    float
+        A target without a fresh report never looks good.
+    """
+    report = instance.report
+    if report is None or now - instance.reported_at > USEFUL_S:
+        return _UNKNOWN + instance.own
+    slots = max(1, report.slots)
+    ahead = report.running + report.waiting + instance.sent_since_report
+    factor = _KNEE_FACTOR if (ahead + 1) / slots > _KNEE and slots > 1 else 1.0
+    rounds = 1.0 + max(0, ahead + 1 - slots) / slots
+    cold = _COLD_FACTOR if now < instance.cold_until else 1.0
+    ill = 1.0 if instance.well else _ILL_FACTOR
+    away = _AWAY if place and instance.listed.place != place else 0.0
+    return max(0.2, report.slowness) * factor * rounds * cold * ill + away
+
+
+def excess(instance: Instance) -> float:
+    """Return the requests at a target beyond its slots, as a share of the slots."""
+    report = instance.report
+    if report is None:
+        return 0.0
+    slots = max(1, report.slots)
+    ahead = report.running + report.waiting + instance.sent_since_report
+    return (ahead + 1 - slots) / slots
+
+
+class FreshChooser:
+    """Say whom to ask, and note how targets do.
+
+    Parameters
+    ----------
+    place : str
+        The box's own.
+    rng : random.Random
+    """
+
+    def __init__(self, *, place: str, rng: random.Random) -> None:
+        self._place = place
+        self._rng = rng
+
+    def order(
+        self, instances: Iterable[Instance], now: Seconds, *, exclude: Collection[str]
+    ) -> list[Instance]:
+        """Return the targets in the order in which to ask them.
+
+        Notes
+        -----
+        First those of the own place of which nothing bad was heard lately,
+        then others, then those heard to be slow or full, then those set
+        aside; by chance among equals, so that boxes do not run to the same one.
+        """
+        usable = [i for i in instances if i.name not in exclude and not i.replaced]
+        return sorted(usable, key=lambda i: (self._rung(i, now), self._rng.random()))
+
+    def _rung(self, instance: Instance, now: Seconds) -> int:
+        away = instance.listed.place != self._place
+        if now < instance.aside_until:
+            return 5
+        if instance.lapsed_at is not None:
+            return 4
+        if now - instance.reported_at < USEFUL_S and expected_time(instance, now) > GOOD:
+            return 2 + away
+        return int(away)
+
+    def expected(self, instance: Instance, now: Seconds) -> float:
+        """Return the expected time, the way to another place included."""
+        return expected_time(instance, now, place=self._place)
+
+    def good(self, instance: Instance, now: Seconds) -> bool:
+        """Return whether to send to a target without asking further ones."""
+        return expected_time(instance, now) <= GOOD and now >= instance.aside_until
+
+    @staticmethod
+    def failed(instance: Instance, now: Seconds) -> None:
+        """Note a failure; several in a row set the target aside for a while."""
+        instance.failures += 1
+        over = instance.failures - _ASIDE_AFTER
+        if over >= 0:
+            shortest, longest = _ASIDE_S
+            instance.aside_until = now + min(longest, shortest * 2**over)
+
+    @staticmethod
+    def did_well(instance: Instance) -> None:
+        """Note an answer that was as it should be."""
+        instance.failures = 0
+        instance.aside_until = 0.0
--- /dev/null
+++ b/dunlinnotch/coordination/mesh.py
@@ -0,0 +1,205 @@
+"""Which boxes there are, who of them reads the store, and how fresh each knows its tables.
+
+Each box sends its word to the others a few times a second, and at once when
+something changed.  A few boxes, one in each place, follow the store; the
+others fetch what is new from whoever has it.  Every box knows how old its
+knowledge is, and reads for itself when nobody it hears knows better.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+from dunlinnotch.coordination.subset import highest
+from dunlinnotch.protocol.mesh import BoxWord, TableState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dunlinnotch.state.followed import FollowedTable
+    from dunlinnotch.types import Address, Clock, Seconds
+
+STARTING, RUNNING, DRAINING = "starting", "running", "draining"
+#: Silence after which a box is not offered to callers nor counted on, in seconds.
+SUSPECT_S = 1.7
+#: Silence after which a box is forgotten, in seconds.
+FORGET_S = 60.0
+#: Silence up to which a suspect is offered if nobody else is left, in seconds.
+_LAST_RESORT_S = 20.0
+#: A table older than this, as far as a box can tell, is read by the box itself, in seconds.
+STALE_S = 2.2
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Heard:
+    word: BoxWord
+    at: Seconds
+
+
+class Mesh:
+    """What this box knows of the others.
+
+    Parameters
+    ----------
+    name, place : str
+    incarnation : int
+    caller, peer : str
+        This box's own addresses.
+    tables : iterable of FollowedTable
+    clock : callable
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        place: str,
+        incarnation: int,
+        caller: Address,
+        peer: Address,
+        tables: Iterable[FollowedTable],
+        clock: Clock,
+    ) -> None:
+        self.name = name
+        self.place = place
+        self.state = STARTING
+        self.reading = True
+        self.in_flight = 0
+        self.peer = peer
+        self._incarnation = incarnation
+        self._caller = caller
+        self._tables = {table.name: table for table in tables}
+        self._clock = clock
+        self._seq = 0
+        self._heard: dict[str, _Heard] = {}
+        self.most_boxes = 1
+
+    def own_word(self, *, wants_word: bool = False) -> BoxWord:
+        """Return a new word of this box."""
+        self._seq += 1
+        now = self._clock()
+        tables = {
+            name: TableState(
+                table.version,
+                -1 if table.verified_at is None else int((now - table.verified_at) * 1000),
+            )
+            for name, table in self._tables.items()
+        }
+        return BoxWord(
+            name=self.name,
+            place=self.place,
+            incarnation=self._incarnation,
+            seq=self._seq,
+            caller=self._caller,
+            peer=self.peer,
+            state=self.state,
+            reading=self.reading,
+            in_flight=self.in_flight,
+            tables=tables,
+            wants_word=wants_word,
+        )
+
+    def take(self, word: BoxWord) -> bool:
+        """Take in a word; return False if it is old or this box's own."""
+        if word.name == self.name:
+            return False
+        now = self._clock()
+        known = self._heard.get(word.name)
+        if known is not None and word.age_key <= known.word.age_key:
+            return False
+        if known is None or self._differs(known.word, word):
+            event(
+                _log,
+                "box",
+                box=word.name,
+                state=word.state,
+                place=word.place,
+                incarnation=word.incarnation,
+                reading=word.reading,
+                before=None if known is None else known.word.state,
+            )
+        self._heard[word.name] = _Heard(word, now)
+        self.most_boxes = max(self.most_boxes, len(self._heard) + 1)
+        self._verify_by(word, now)
+        return True
+
+    @staticmethod
+    def _differs(old: BoxWord, new: BoxWord) -> bool:
+        return (old.state, old.incarnation, old.reading) != (new.state, new.incarnation, new.reading)
+
+    def _verify_by(self, word: BoxWord, now: Seconds) -> None:
+        """Take over how fresh the sender's tables are where ours are as new."""
+        for name, state in word.tables.items():
+            table = self._tables.get(name)
+            if table is not None and state.age_ms >= 0 and table.known:
+                if state.version <= table.version:
+                    table.verify(now - state.age_ms / 1000)
+
+    def newer(self, word: BoxWord) -> list[str]:
+        """Return the tables that the sender of a word knows further than this box."""
+        found = []
+        for name, state in word.tables.items():
+            table = self._tables.get(name)
+            if table is None or state.age_ms < 0:
+                continue
+            if state.version > table.version or not table.known:
+                found.append(name)
+        return found
+
+    def others(self) -> list[BoxWord]:
+        """Return the last words of all boxes not forgotten."""
+        now = self._clock()
+        gone = [name for name, heard in self._heard.items() if now - heard.at > FORGET_S]
+        for name in gone:
+            del self._heard[name]
+            event(_log, "box-forgotten", box=name)
+        return [heard.word for heard in self._heard.values()]
+
+    def live(self) -> list[BoxWord]:
+        """Return the last words of the boxes heard lately, without this one."""
+        now = self._clock()
+        return [h.word for h in self._heard.values() if now - h.at <= SUSPECT_S]
+
+    def is_reader(self) -> bool:
+        """Return whether this box follows the store: the first of its place, or if need be."""
+        first = [self.name] if self.reading and self.state != DRAINING else []
+        first += [
+            word.name
+            for word in self.live()
+            if word.place == self.place and word.reading and word.state != DRAINING
+        ]
+        return not first or highest(self.place, first, 1) == [self.name] or self.stale()
+
+    def is_lead(self) -> bool:
+        """Return whether this box is the one reader that looks often."""
+        names = [self.name] + [w.name for w in self.live() if w.reading and w.state == RUNNING]
+        return min(names) == self.name
+
+    def stale(self) -> bool:
+        """Return whether some table is so old that this box must read for itself."""
+        return any(self.age(table) > STALE_S for table in self._tables.values())
+
+    def age(self, table: FollowedTable) -> Seconds:
+        """Return the seconds since a table was known to be all that there is."""
+        if table.verified_at is None:
+            return float("inf")
+        return self._clock() - table.verified_at
+
+    def offered(self, place: str) -> list[Address]:
+        """Return the callers' addresses of boxes to offer, those of ``place`` if enough."""
+        now = self._clock()
+        words = [h.word for h in self._heard.values() if now - h.at <= SUSPECT_S]
+        running = [word for word in words if word.state == RUNNING]
+        if not running:
+            words = [h.word for h in self._heard.values() if now - h.at <= _LAST_RESORT_S]
+            running = [word for word in words if word.state == RUNNING]
+        entries = [(word.place, word.caller) for word in running]
+        if self.state == RUNNING:
+            entries.append((self.place, self._caller))
+        near = [caller for where, caller in entries if where == place]
+        return near if len(near) > 1 else [caller for _, caller in entries]
--- /dev/null
+++ b/dunlinnotch/daemon/entry.py
@@ -0,0 +1,423 @@
+"""An entry box on one event loop: what a platform's adapter gives, joined and run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+from dunlinnotch.coordination.beliefs import RoutesInForce, TargetsListed
+from dunlinnotch.coordination.following import TableFollower
+from dunlinnotch.coordination.forward import AskPlan, Forwarder
+from dunlinnotch.coordination.fresh import FreshChooser
+from dunlinnotch.coordination.mesh import DRAINING, RUNNING, Mesh
+from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.daemon.figures import Figures
+from dunlinnotch.daemon.stop import StopPlan
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.state.followed import FollowedTable
+from dunlinnotch.state.heads import Header
+from dunlinnotch.state.instances import InstanceList
+from dunlinnotch.transport.stream.client import TargetClient
+from dunlinnotch.transport.stream.peers import TablePort, WordPort, fetch_table
+from dunlinnotch.transport.stream.server import ServerLimits, StreamServer
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from dunlinnotch.protocol.mesh import BoxWord
+    from dunlinnotch.protocol.relay import CallerRequest, TargetDialect
+    from dunlinnotch.protocol.store import TableSource
+    from dunlinnotch.state.followed import TableDelta, TableRow
+    from dunlinnotch.state.instances import ListedTarget
+    from dunlinnotch.state.routes import RouteTable
+    from dunlinnotch.transport.stream.server import Exchange
+    from dunlinnotch.types import Address, Seconds
+
+#: Time between two words of a box, in seconds.
+WORD_S = 0.5
+#: Time that a new box gives its peers to tell it their tables before it reads the store.
+_HEAR_FIRST_S = 0.35
+_FETCH_S = 1.0
+_LOOK_S = 0.05
+#: Trouble of the store is remembered for so long, in seconds.
+_TROUBLE_S = 6.0
+#: Connections that a target accepts are shared by at least so many boxes.
+_BOXES_LEAST = 6
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What one entry box is told at its start.
+
+    Parameters
+    ----------
+    name, place : str
+    caller, peer : str
+        Addresses for callers and for peers.
+    seeds : tuple of str
+        Peers to ask while none is known.
+    grace : float
+        Seconds from the stop signal until the platform kills.
+    probes_per_s : float
+        Most probes a target may get from all boxes together.
+    repeat_ratio, repeat_slack, repeat_window : float
+        The budget of repeats for a service.
+    """
+
+    name: str
+    place: str
+    caller: Address
+    peer: Address
+    seeds: tuple[Address, ...]
+    grace: Seconds
+    probes_per_s: float
+    repeat_ratio: float
+    repeat_slack: float
+    repeat_window: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """How a platform is spoken to; an adapter only translates.
+
+    Parameters
+    ----------
+    source : TableSource
+    settings_table, settings_key : str
+        The row that holds the settings in force.
+    targets_table : str
+    read_settings, read_target : callable
+        Read a document and a row of the list of targets.
+    targets : TargetDialect
+    read_request : callable
+        Makes a caller's request of an exchange; ``None`` if it is none.
+    store_calls, store_failures : callable
+        Counts, for the metrics.
+    """
+
+    source: TableSource
+    settings_table: str
+    settings_key: str
+    targets_table: str
+    read_settings: Callable[[bytes], RouteTable]
+    read_target: Callable[[str, bytes], ListedTarget]
+    targets: TargetDialect
+    read_request: Callable[[Exchange], CallerRequest | None]
+    store_calls: Callable[[], int]
+    store_failures: Callable[[], int]
+
+
+class EntryBox:
+    """One entry box.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    adapter : Adapter
+    rng : random.Random
+    dropped_lines : callable
+        Returns how many log lines were left out.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        adapter: Adapter,
+        *,
+        rng: random.Random,
+        dropped_lines: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        clock = self._loop.time
+        self._dropped_lines = dropped_lines
+        self.instances = InstanceList()
+        self.routes = RoutesInForce(
+            adapter.read_settings, key=adapter.settings_key, on_change=self._on_routes
+        )
+        self._listed = TargetsListed(
+            adapter.read_target, self.instances, clock=clock, troubled=self._troubled
+        )
+        self._settings_rows = FollowedTable(adapter.settings_table, self.routes.take)
+        self._target_rows = FollowedTable(adapter.targets_table, self._take_targets)
+        self.tables = {t.name: t for t in (self._settings_rows, self._target_rows)}
+        self.mesh = Mesh(
+            name=settings.name,
+            place=settings.place,
+            incarnation=time.time_ns() // 1000,
+            caller=settings.caller,
+            peer=settings.peer,
+            tables=self.tables.values(),
+            clock=clock,
+        )
+        self.followers = [
+            TableFollower(table, adapter.source, self.mesh, on_news=self._tell_news, rng=rng)
+            for table in self.tables.values()
+        ]
+        self.figures = Figures(self._gauges)
+        self._targets = TargetClient(adapter.targets)
+        self.probes = ProbeShare(settings.probes_per_s, clock=clock)
+        self.forwarder = Forwarder(
+            routes=lambda: self.routes.table,
+            age=lambda: self.mesh.age(self._settings_rows),
+            instances=self.instances,
+            chooser=FreshChooser(place=settings.place, rng=rng),
+            probes=self.probes,
+            make_repeats=self._make_repeats,
+            targets=self._targets,
+            observer=self.figures,
+            plan=AskPlan(),
+            rng=rng,
+        )
+        self.limits = ServerLimits()
+        self._front = StreamServer(self._serve, limits=self.limits)
+        self._words = WordPort(self._take_word)
+        self._table_port = TablePort(self._tell_table)
+        self._servers: list[StreamServer] = []
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._refusing = False
+        self._trouble_at: Seconds = -1e9
+        self._stop_asked = asyncio.Event()
+
+    # -- running
+
+    async def run(self) -> None:
+        """Serve until stopped by a signal."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop_asked.set)
+        await self._front.listen(self._settings.caller)
+        await self._table_port.listen(self._settings.peer)
+        host, _, port = self._settings.peer.rpartition(":")
+        await self._loop.create_datagram_endpoint(
+            lambda: self._words, local_addr=(host, int(port))
+        )
+        event(_log, "started", box=self.mesh.name, place=self.mesh.place, caller=self.mesh.peer)
+        self._spawn(self._send_words())
+        await self._hear_peers()
+        for follower in self.followers:
+            self._spawn(follower.run())
+        self._spawn(self._look_after())
+        await self._stop_asked.wait()
+        await self._stop()
+
+    def add_server(self, server: StreamServer) -> None:
+        """Have a further server closed with the box."""
+        self._servers.append(server)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the box takes new work."""
+        return self.mesh.state == RUNNING
+
+    def _spawn(self, work: object) -> None:
+        task = self._loop.create_task(self._guard(work))  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, work: object) -> None:
+        """Run a task; an error nobody foresaw ends the process, not just the task."""
+        try:
+            await work  # type: ignore[misc]
+        except Exception:
+            _log.critical("task-failed", exc_info=True)
+            self._stop_asked.set()
+            raise
+
+    async def _hear_peers(self) -> None:
+        """Ask the seeds for what they know before reading the store."""
+        until = self._loop.time() + _HEAR_FIRST_S
+        while self._loop.time() < until:
+            self._words.send(self.mesh.own_word(wants_word=True), self._seeds())
+            for _ in range(3):
+                await asyncio.sleep(_LOOK_S)
+                if all(table.known for table in self.tables.values()):
+                    return
+
+    def _seeds(self) -> list[Address]:
+        return [seed for seed in self._settings.seeds if seed != self._settings.peer]
+
+    async def _look_after(self) -> None:
+        """Keep up what depends on time."""
+        while True:
+            if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
+                self.mesh.state = RUNNING
+                event(_log, "serving", box=self.mesh.name, version=self._version())
+                self._tell_news()
+            self._listed.expire()
+            reading = not any(follower.failing for follower in self.followers)
+            if reading != self.mesh.reading:
+                self.mesh.reading = reading
+                self._tell_news()
+            self.mesh.in_flight = self.forwarder.in_flight
+            self.forwarder.set_boxes(max(self.mesh.most_boxes, _BOXES_LEAST))
+            await asyncio.sleep(_LOOK_S)
+
+    def _can_serve(self) -> bool:
+        return self.routes.table is not None and all(t.known for t in self.tables.values())
+
+    def _version(self) -> int:
+        return 0 if self.routes.table is None else self.routes.table.version
+
+    # -- the planned stop
+
+    async def _stop(self) -> None:
+        plan = StopPlan.within(self._settings.grace)
+        began = self._loop.time()
+        event(_log, "stopping", box=self.mesh.name, in_flight=self.forwarder.in_flight)
+        self.mesh.state = DRAINING
+        self._tell_news()
+        self._front.last_answers = True
+        await asyncio.sleep(plan.refuse)
+        self._refusing = True
+        await asyncio.sleep(plan.close - plan.refuse)
+        self._front.stop_listening()
+        self._front.close_idle()
+        while self.forwarder.in_flight and self._loop.time() - began < plan.end:
+            await asyncio.sleep(_LOOK_S / 2)
+        left = self.forwarder.in_flight
+        for server in (self._front, *self._servers):
+            await server.close()
+        self._table_port.close()
+        event(_log, "stopped", box=self.mesh.name, cut=left)
+
+    # -- requests
+
+    async def _serve(self, exchange: Exchange) -> None:
+        if self._refusing:
+            exchange.close_after()
+            exchange.reply(503, [Header("Retry-After", "0.05")], b"")
+            return
+        request = self._adapter.read_request(exchange)
+        if request is None:
+            exchange.reply(400, (), b"")
+            return
+        await self.forwarder.serve(request, exchange.body(), exchange)
+
+    def _make_repeats(self) -> RepeatShare:
+        settings = self._settings
+        share = RepeatShare(
+            ratio=settings.repeat_ratio,
+            slack=settings.repeat_slack,
+            window=settings.repeat_window,
+            clock=self._loop.time,
+        )
+        share.boxes = max(self.mesh.most_boxes, _BOXES_LEAST)
+        return share
+
+    # -- what the box believes
+
+    def _on_routes(self, table: RouteTable) -> None:
+        limits = table.limits
+        self.limits.head_bytes = limits.head_bytes
+        self.limits.body_bytes = limits.body_bytes
+        self.limits.head_s = limits.head_s
+        self.limits.idle_s = limits.idle_s
+        most = min((s.connections for s in table.services.values()), default=256)
+        self._targets.set_most(max(4, most // max(self.mesh.most_boxes, _BOXES_LEAST)))
+
+    def _take_targets(self, rows: list[TableRow]) -> None:
+        self._listed.take(rows)
+        self._targets.keep_only(self.instances.addresses())
+        self.probes.keep_only({instance.name for instance in self.instances.all()})
+
+    def _troubled(self) -> bool:
+        now = self._loop.time()
+        if not self.mesh.reading or any(not word.reading for word in self.mesh.live()):
+            self._trouble_at = now
+        return now - self._trouble_at < _TROUBLE_S
+
+    # -- peers
+
+    async def _send_words(self) -> None:
+        while True:
+            self._troubled()
+            self._send_word()
+            await asyncio.sleep(WORD_S * (0.9 + 0.2 * self._rng.random()))
+
+    def _send_word(self) -> None:
+        words = self.mesh.others()
+        to = {word.peer for word in words}
+        strange = [seed for seed in self._seeds() if seed not in to]
+        if strange:
+            self._words.send(self.mesh.own_word(wants_word=True), strange)
+        self._words.send(self.mesh.own_word(), to)
+
+    def _tell_news(self) -> None:
+        """Tell all peers at once that something changed here."""
+        self._words.send(self.mesh.own_word(), [word.peer for word in self.mesh.others()])
+
+    def _take_word(self, word: BoxWord) -> None:
+        if not self.mesh.take(word):
+            return
+        if word.wants_word:
+            self._introduce(word)
+        for table in self.mesh.newer(word):
+            if table not in self._fetching:
+                self._fetching.add(table)
+                self._spawn(self._fetch(table, word.peer))
+
+    def _introduce(self, word: BoxWord) -> None:
+        """Answer a box that knows few others, and make it known to them."""
+        self._words.send(self.mesh.own_word(), [word.peer])
+        for other in self.mesh.live():
+            if other.name != word.name:
+                self._words.send(other, [word.peer])
+                self._words.send(word, [other.peer])
+
+    async def _fetch(self, table: str, peer: Address) -> None:
+        followed = self.tables[table]
+        version = followed.version if followed.known else 0
+        try:
+            sent = self._loop.time()
+            delta, age_ms = await fetch_table(peer, table, version, timeout=_FETCH_S)
+        except (ProtocolError, OSError, TimeoutError) as error:
+            event(_log, "fetch-failed", table=table, peer=peer, detail=repr(error))
+            return
+        finally:
+            self._fetching.discard(table)
+        if age_ms >= 0 and followed.take(delta, at=sent - age_ms / 1000):
+            event(_log, "table-fetched", table=table, peer=peer, version=delta.version)
+            for follower in self.followers:
+                follower.look_again()
+
+    def _tell_table(self, table: str, version: int) -> tuple[TableDelta, int]:
+        followed = self.tables[table]
+        age = self.mesh.age(followed)
+        return followed.since(version), -1 if not followed.known else int(age * 1000)
+
+    # -- metrics
+
+    def _gauges(self) -> dict[str, float]:
+        figures = {
+            "probes_total": float(self.probes.spent),
+            "probes_denied_total": float(self.probes.denied),
+            "connections_opened_total": float(self._targets.opened),
+            "store_calls_total": float(self._adapter.store_calls()),
+            "store_failures_total": float(self._adapter.store_failures()),
+            "settings_version": float(self._version()),
+            "boxes_live": float(len(self.mesh.live()) + 1),
+            "in_flight": float(self.forwarder.in_flight),
+            "word_bytes_total": float(self._words.sent_bytes),
+            "log_lines_dropped_total": float(self._dropped_lines()),
+        }
+        for name, table in self.tables.items():
+            figures[f'table_age_seconds{{table="{name}"}}'] = round(self.mesh.age(table), 3)
+        return figures
+
+
+async def run_until_stopped(box: EntryBox) -> None:
+    """Run a box; a cancelled run ends quietly."""
+    with contextlib.suppress(asyncio.CancelledError):
+        await box.run()
--- /dev/null
+++ b/dunlinnotch/daemon/stop.py
@@ -0,0 +1,39 @@
+"""A planned stop on a signal: what a box still does at which moment of its grace."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Seconds
+
+#: Parts of the grace after which the box takes no new work, closes idle
+#: connections, and ends whatever is left.
+_REFUSE, _CLOSE, _END = 0.5, 0.75, 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class StopPlan:
+    """Moments of a planned stop, in seconds from the signal.
+
+    Parameters
+    ----------
+    refuse : float
+        New requests are refused as not run: callers have had time to learn
+        that the box leaves, and what is taken later might not end in time.
+    close : float
+        The box listens no more, closes idle connections, and ends as soon as
+        nothing is in flight.
+    end : float
+        The box ends, whatever is in flight.
+    """
+
+    refuse: Seconds
+    close: Seconds
+    end: Seconds
+
+    @classmethod
+    def within(cls, grace: Seconds) -> StopPlan:
+        """Return the plan for a platform that kills after ``grace``."""
+        return cls(grace * _REFUSE, grace * _CLOSE, grace * _END)
--- /dev/null
+++ b/dunlinnotch/platform/__init__.py
@@ -0,0 +1,4 @@
+"""Translate between the users' platform and this product; decide nothing.
+
+The platform's headers, paths, fields and words appear in this folder only.
+"""
--- /dev/null
+++ b/dunlinnotch/platform/__main__.py
@@ -0,0 +1,73 @@
+"""Run one entry box on the users' platform: ``python3 -m dunlinnotch.platform``."""
+
+from __future__ import annotations
+
+import sys
+
+# Nothing here speaks TLS, and its library is most of what asyncio would load.
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+
+import asyncio  # noqa: E402
+import os  # noqa: E402
+import random  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from dunlinnotch._logs import BoundedStream, configure_stream  # noqa: E402
+from dunlinnotch.daemon.entry import Adapter, EntryBox, run_until_stopped  # noqa: E402
+from dunlinnotch.errors import ConfigError  # noqa: E402
+from dunlinnotch.platform import documents, settings_file  # noqa: E402
+from dunlinnotch.platform.dialect import WorkerDialect, read_request  # noqa: E402
+from dunlinnotch.platform.doors import Doors  # noqa: E402
+from dunlinnotch.platform.store import PlatformStore  # noqa: E402
+from dunlinnotch.transport.stream.server import StreamServer  # noqa: E402
+
+_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run until stopped; return the exit code."""
+    stream = BoundedStream(sys.stdout.fileno())
+    configure_stream(stream, level=os.environ.get("DUNLINNOTCH_LOG_LEVEL", "INFO"))
+    try:
+        path = Path(os.environ.get(settings_file.VARIABLE, ""))
+        node_file = settings_file.read_file(path)
+        settings = settings_file.entry_settings(node_file)
+        doors = settings_file.Doors(node_file)
+    except ConfigError as error:
+        sys.stderr.write(f"{error.code}: {error}\n")
+        return _BAD_SETTINGS
+    asyncio.run(_run(settings, doors, stream))
+    return 0
+
+
+async def _run(
+    settings: settings_file.EntrySettings, doors: settings_file.Doors, stream: BoundedStream
+) -> None:
+    store = PlatformStore(doors.store)
+    adapter = Adapter(
+        source=store,
+        settings_table=documents.OPERATOR_TABLE,
+        settings_key=documents.OPERATOR_KEY,
+        targets_table=documents.TARGETS_TABLE,
+        read_settings=documents.read_document,
+        read_target=documents.read_worker,
+        targets=WorkerDialect(),
+        read_request=read_request,
+        store_calls=lambda: store.calls,
+        store_failures=lambda: store.failures,
+    )
+    box = EntryBox(settings, adapter, rng=random.Random(), dropped_lines=lambda: stream.dropped)
+    answers = Doors(box, longest_ttl=doors.longest_ttl)
+    for address, handler in (
+        (doors.readiness, answers.readiness),
+        (doors.directory, answers.directory),
+        (doors.control, answers.control),
+    ):
+        server = StreamServer(handler)
+        await server.listen(address)
+        box.add_server(server)
+    await run_until_stopped(box)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dunlinnotch/platform/store.py
@@ -0,0 +1,111 @@
+"""The platform's metadata store: read tables and follow their changes."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+from urllib.parse import urlencode
+
+from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.protocol.store import HistoryGone
+from dunlinnotch.state.followed import TableDelta, TableRow
+from dunlinnotch.transport.stream.fetch import Fetched, Fetcher
+
+_OK, _GONE = 200, 410
+_PAGE = 500
+#: Time for an answer, beyond what a call is asked to wait, in seconds.
+_ANSWER_S = 1.0
+
+
+class PlatformStore:
+    """Read tables of the store.
+
+    Parameters
+    ----------
+    address : str
+    """
+
+    def __init__(self, address: str) -> None:
+        self._fetcher = Fetcher(address)
+
+    @property
+    def calls(self) -> int:
+        """Calls made so far."""
+        return self._fetcher.calls
+
+    @property
+    def failures(self) -> int:
+        """Calls that got no answer."""
+        return self._fetcher.failures
+
+    async def read_table(self, table: str) -> TableDelta:
+        """Return all rows of a table.
+
+        Notes
+        -----
+        The version is that of the first page: what changed between two pages
+        comes again by the changes after it.
+        """
+        rows: list[TableRow] = []
+        first: int | None = None
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(_PAGE)}
+            if start:
+                query["from"] = start
+            plain = await self._get("/api/rows-get", query, _ANSWER_S)
+            page = [_read_row(row) for row in plain.get("rows", ())]
+            rows += [row for row in page if row.key != start or not start]
+            first = _whole(plain, "ver") if first is None else first
+            if not plain.get("more") or not page:
+                return TableDelta(table, first, True, tuple(rows))
+            start = page[-1].key
+
+    async def changes(self, table: str, after: int, wait: float) -> TableDelta | HistoryGone:
+        """Return what changed after a version, waiting for a change that long."""
+        query = {"table": table, "after": str(after), "wait-ms": str(int(wait * 1000))}
+        answer = await self._fetch("/api/rows-feed", query, wait + _ANSWER_S)
+        if answer.status == _GONE:
+            return HistoryGone()
+        plain = _read(answer, "/api/rows-feed")
+        rows = tuple(_read_row(row) for row in plain.get("rows", ()))
+        return TableDelta(table, _whole(plain, "ver"), False, rows)
+
+    async def _get(self, path: str, query: dict[str, str], timeout: float) -> dict[str, Any]:
+        return _read(await self._fetch(path, query, timeout), path)
+
+    async def _fetch(self, path: str, query: dict[str, str], timeout: float) -> Fetched:
+        return await self._fetcher.fetch("GET", f"{path}?{urlencode(query)}", timeout=timeout)
+
+
+def _read(answer: Fetched, path: str) -> dict[str, Any]:
+    if answer.status != _OK:
+        msg = f"{path}: status {answer.status}"
+        raise PlatformUnavailableError(msg)
+    try:
+        plain = json.loads(answer.body)
+    except ValueError as error:
+        msg = f"{path}: no JSON: {error}"
+        raise PlatformUnavailableError(msg) from None
+    if not isinstance(plain, dict):
+        msg = f"{path}: no table"
+        raise PlatformUnavailableError(msg)
+    return plain
+
+
+def _read_row(plain: Any) -> TableRow:  # noqa: ANN401 - checked here
+    try:
+        value = None if plain.get("gone") else base64.b64decode(plain["value"])
+        return TableRow(str(plain["tls-key"]), int(plain["ver"]), value)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        msg = f"a row can't be read: {error!r}; received {plain!r:.80}"
+        raise PlatformUnavailableError(msg) from None
+
+
+def _whole(plain: dict[str, Any], name: str) -> int:
+    value = plain.get(name)
+    if not isinstance(value, int):
+        msg = f"{name} = {value!r}: a whole number is needed"
+        raise PlatformUnavailableError(msg)
+    return value
--- a/dunlinnotch/protocol/answers.py
+++ b/dunlinnotch/protocol/answers.py
@@ -5,7 +5,7 @@
 import re
 from dataclasses import dataclass
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.types import Address, Seconds, Version
 
 #: Where a caller asks for addresses.
--- /dev/null
+++ b/dunlinnotch/protocol/mesh.py
@@ -0,0 +1,150 @@
+"""What boxes tell each other: short words by datagram, tables by stream.
+
+A word is one msgpack list, so that it fits a datagram.  A table is asked for
+over a stream: one msgpack map each way.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.state.followed import TableDelta, TableRow
+
+_FORMAT = 1
+#: Words of another release, or of nobody, are not taken.
+_WORD_FIELDS = 11
+
+
+@dataclass(frozen=True, slots=True)
+class TableState:
+    """How far a box knows a table.
+
+    Parameters
+    ----------
+    version : int
+    age_ms : int
+        Milliseconds since it was known to be all; -1 if it never was.
+    """
+
+    version: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class BoxWord:
+    """What a box says of itself.
+
+    Parameters
+    ----------
+    name, place : str
+    incarnation : int
+        Grows with each start of the box.
+    seq : int
+        Grows with each word of one start.
+    caller, peer : str
+        Where callers and peers connect.
+    state : str
+        ``starting``, ``running`` or ``draining``.
+    reading : bool
+        Whether its reads of the store succeed.
+    in_flight : int
+    tables : dict of str to TableState
+    wants_word : bool
+        Whether the sender wants to hear the receiver's word now.
+    """
+
+    name: str
+    place: str
+    incarnation: int
+    seq: int
+    caller: str
+    peer: str
+    state: str
+    reading: bool
+    in_flight: int
+    tables: dict[str, TableState]
+    wants_word: bool = False
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Order of a box's words: the larger one is newer."""
+        return (self.incarnation, self.seq)
+
+
+def pack_word(word: BoxWord) -> bytes:
+    """Return a word as one datagram."""
+    tables = {name: [t.version, t.age_ms] for name, t in word.tables.items()}
+    fields = [
+        _FORMAT,
+        word.name,
+        word.place,
+        word.incarnation,
+        word.seq,
+        word.caller,
+        word.peer,
+        word.state,
+        [word.reading, word.wants_word],
+        word.in_flight,
+        tables,
+    ]
+    packed: bytes = msgpack.packb(fields)
+    return packed
+
+
+def unpack_word(data: bytes) -> BoxWord:
+    """Return the word in a datagram.
+
+    Raises
+    ------
+    ProtocolError
+        If it is none.
+    """
+    try:
+        fields = msgpack.unpackb(data)
+        if not isinstance(fields, list) or len(fields) < _WORD_FIELDS or fields[0] != _FORMAT:
+            msg = f"no word of format {_FORMAT}"
+            raise ProtocolError(msg)
+        reading, wants = fields[8]
+        tables = {str(n): TableState(int(v), int(a)) for n, (v, a) in fields[10].items()}
+        return BoxWord(
+            name=str(fields[1]),
+            place=str(fields[2]),
+            incarnation=int(fields[3]),
+            seq=int(fields[4]),
+            caller=str(fields[5]),
+            peer=str(fields[6]),
+            state=str(fields[7]),
+            reading=bool(reading),
+            in_flight=int(fields[9]),
+            tables=tables,
+            wants_word=bool(wants),
+        )
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
+        msg = f"no word: {error}"
+        raise ProtocolError(msg) from None
+
+
+def pack_delta(delta: TableDelta, *, age_ms: int) -> dict[str, Any]:
+    """Return a table's changes as plain data."""
+    rows = [[row.key, row.version, row.value] for row in delta.rows]
+    return {"t": delta.table, "v": delta.version, "w": delta.whole, "r": rows, "a": age_ms}
+
+
+def unpack_delta(plain: Any) -> tuple[TableDelta, int]:  # noqa: ANN401 - checked here
+    """Return a table's changes and their age in milliseconds.
+
+    Raises
+    ------
+    ProtocolError
+    """
+    try:
+        rows = tuple(TableRow(str(k), int(v), value) for k, v, value in plain["r"])
+        delta = TableDelta(str(plain["t"]), int(plain["v"]), bool(plain["w"]), rows)
+        return delta, int(plain["a"])
+    except (KeyError, ValueError, TypeError) as error:
+        msg = f"no table: {error!r}"
+        raise ProtocolError(msg) from None
--- a/dunlinnotch/protocol/operator.py
+++ b/dunlinnotch/protocol/operator.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.state.boxes import BoxRow
 from dunlinnotch.state.tree import Edit
 from dunlinnotch.types import Address, Seconds, Version
--- a/dunlinnotch/protocol/peers.py
+++ b/dunlinnotch/protocol/peers.py
@@ -7,7 +7,7 @@
 
 from pydantic import Field
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.state.boxes import BoxRow
 from dunlinnotch.state.tree import Edit, SettingsTree
 from dunlinnotch.types import Version
--- a/dunlinnotch/protocol/platform.py
+++ b/dunlinnotch/protocol/platform.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.types import Address, Version
 
 
--- /dev/null
+++ b/dunlinnotch/protocol/relay.py
@@ -0,0 +1,234 @@
+"""What passes between a box and a target for one request, as typed values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from dunlinnotch.protocol.outcome import Reason
+    from dunlinnotch.state.heads import AnswerHead, Header
+    from dunlinnotch.types import Address, Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request of a caller, without its body.
+
+    Parameters
+    ----------
+    request_id : str
+        Given by the caller; answers of targets name it.
+    method, path, host : str
+        ``path`` with its query, as received.
+    headers : tuple of Header
+        As received.
+    arrived : float
+        Monotonic seconds at which its head had come.
+    deadline : float
+        Monotonic seconds at which the caller stops waiting.
+    length : int or None
+        Bytes in the body; ``None`` if it comes in chunks.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    host: str
+    headers: tuple[Header, ...]
+    arrived: Seconds
+    deadline: Seconds
+    length: int | None = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target says of its load.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, requests that wait there, and how many it
+        works on at once.
+    slowness : float, default 1.0
+        How long work takes there now; 1 is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
+class Verdict(Enum):
+    """What the head of an answer is to the request that waits for one."""
+
+    #: The answer to this request.
+    OURS = auto()
+    #: The answer to another request; it belongs to nobody here.
+    FOREIGN = auto()
+    #: The target marked its refusal: this request did not run.
+    NOT_RUN = auto()
+    #: Another target has the address now; this request did not run.
+    ELSEWHERE = auto()
+    #: No answer that a caller may be given.
+    UNUSABLE = auto()
+
+
+class TargetDialect(Protocol):
+    """How targets are spoken to: headers and paths, no decisions."""
+
+    def request_headers(
+        self, request: CallerRequest, *, left: Seconds, instance: str
+    ) -> Sequence[Header]:
+        """Return the headers of a request passed on with ``left`` seconds to run."""
+
+    def judge(self, head: AnswerHead, request: CallerRequest) -> Verdict:
+        """Tell what an answer's head is to a request."""
+
+    def answer_headers(self, head: AnswerHead) -> Sequence[Header]:
+        """Return the headers of an answer that go on to the caller."""
+
+    def report(self, head: AnswerHead) -> TargetReport | None:
+        """Return the load that an answer tells, if it tells any."""
+
+    def probe_headers(self, address: str) -> Sequence[Header]:
+        """Return the headers of a probe."""
+
+    def probed_instance(self, head: AnswerHead) -> str | None:
+        """Return which target answered a probe; ``None`` if it was no such answer."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """A target's answer to a probe, with the connection on which it came.
+
+    Parameters
+    ----------
+    instance : str or None
+        Which target answered; ``None`` if there was no usable answer.
+    well : bool
+        Whether the target calls itself well.
+    report : TargetReport or None
+    detail : str
+        Why there was no answer.
+    link : object, optional
+        The connection, taken until it is used or released.
+    """
+
+    instance: str | None
+    well: bool
+    report: TargetReport | None
+    detail: str = ""
+    link: object | None = None
+
+
+class RelayBody(Protocol):
+    """The body of a request on its way to a target."""
+
+    @property
+    def whole(self) -> bytes | None:
+        """The body if all of it is held, so that it may be sent again."""
+
+    def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body; raises :class:`~.attempt.BodyCutError` if it is not whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request reached the target."""
+
+    reason: Reason
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The target said that the request did not run; ``elsewhere`` if it is another target."""
+
+    status: int
+    elsewhere: bool
+    report: TargetReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Bytes may have reached the target and no usable answer came."""
+
+    reason: Reason
+    detail: str
+    status: int = 0
+
+
+class RelayAnswer(Protocol):
+    """An answer whose head has come."""
+
+    head: AnswerHead
+
+    async def whole_within(self, most: int) -> bytes | None:
+        """Read the body if it is at most so long; ``None`` if it is longer."""
+
+    def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body (what is left of it)."""
+
+    def close(self) -> None:
+        """Give the connection back if the answer was read whole, else close it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The head of the answer came."""
+
+    answer: RelayAnswer
+    report: TargetReport | None
+
+
+AttemptEnd = NotSent | NotRun | Broken | Answered
+
+
+class TargetPort(Protocol):
+    """Probes targets and sends them requests."""
+
+    async def ask(self, address: Address, path: str) -> Asked:
+        """Probe a target."""
+
+    def release(self, address: Address, asked: Asked) -> None:
+        """Give back the connection of a probe that is not used."""
+
+    async def attempt(
+        self,
+        address: Address,
+        request: CallerRequest,
+        body: RelayBody,
+        *,
+        left: Seconds,
+        instance: str,
+        asked: Asked | None = None,
+        fresh: bool = False,
+    ) -> AttemptEnd:
+        """Send one request and wait for the head of its answer."""
+
+
+class ReplyPort(Protocol):
+    """Where the answer to a caller goes."""
+
+    @property
+    def begun(self) -> bool:
+        """Whether a head has gone out."""
+
+    def begin(
+        self, status: int, headers: Sequence[Header], *, length: int | None, phrase: str = ""
+    ) -> None:
+        """Send a head."""
+
+    async def send(self, part: bytes) -> None:
+        """Send a part of the body."""
+
+    def finish(self) -> None:
+        """End the answer cleanly."""
+
+    def reply(self, status: int, headers: Sequence[Header], body: bytes, phrase: str = "") -> None:
+        """Send a whole answer."""
--- a/dunlinnotch/state/boxes.py
+++ b/dunlinnotch/state/boxes.py
@@ -11,7 +11,7 @@
 
 from pydantic import Field
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.state.schema import RunState
 from dunlinnotch.types import Address, Seconds, Version
 
--- /dev/null
+++ b/dunlinnotch/state/followed.py
@@ -0,0 +1,144 @@
+"""A table of the platform's store as a box knows it, complete up to a version."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from dunlinnotch.types import Seconds
+
+#: Rows remembered as gone, so that others can be told what went.
+GONE_KEPT = 2000
+
+
+class TableRow(NamedTuple):
+    """One row; ``value`` is None if it is gone."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class TableDelta:
+    """What changed in a table after a version.
+
+    Parameters
+    ----------
+    table : str
+    version : int
+        The table is known completely up to here.
+    whole : bool
+        Whether ``rows`` are all rows that there are.
+    rows : tuple of TableRow
+    """
+
+    table: str
+    version: int
+    whole: bool
+    rows: tuple[TableRow, ...]
+
+
+class FollowedTable:
+    """Rows of one table, which only ever move to a higher version.
+
+    Parameters
+    ----------
+    name : str
+    on_change : callable
+        Called with the rows that changed, gone ones included.
+
+    Attributes
+    ----------
+    version : int
+        0 before anything is known.
+    verified_at : float or None
+        Monotonic seconds at which this was all that the store held.
+    """
+
+    def __init__(self, name: str, on_change: Callable[[list[TableRow]], None]) -> None:
+        self.name = name
+        self.version = 0
+        self.verified_at: Seconds | None = None
+        self._on_change = on_change
+        self._rows: dict[str, TableRow] = {}
+        self._gone: dict[str, TableRow] = {}
+        self._gone_floor = 0
+
+    @property
+    def rows(self) -> list[TableRow]:
+        """Rows that there are."""
+        return list(self._rows.values())
+
+    @property
+    def known(self) -> bool:
+        """Whether the table has been read, directly or through a peer."""
+        return self.verified_at is not None
+
+    def verify(self, at: Seconds) -> None:
+        """Note that the store held no more than this at ``at``."""
+        self.verified_at = at if self.verified_at is None else max(self.verified_at, at)
+
+    def take(self, delta: TableDelta, *, at: Seconds) -> bool:
+        """Take in what a store or peer says was so at ``at``.
+
+        Returns
+        -------
+        bool
+            Whether anything changed.  A delta that is older than what is
+            known changes nothing.
+        """
+        if delta.version < self.version or (delta.version == self.version and self.known):
+            if delta.version == self.version:
+                self.verify(at)
+            return False
+        changed = [row for row in delta.rows if self._take_row(row)]
+        if delta.whole:
+            present = {row.key for row in delta.rows}
+            changed += [self._remove(k, delta.version) for k in list(self._rows) if k not in present]
+        self.version = delta.version
+        self.verify(at)
+        if changed:
+            self._on_change(changed)
+        return bool(changed)
+
+    def since(self, version: int) -> TableDelta:
+        """Return what changed after ``version``; everything if that is no longer known."""
+        if version < self._gone_floor or version <= 0:
+            return TableDelta(self.name, self.version, True, tuple(self._rows.values()))
+        rows = [row for row in self._rows.values() if row.version > version]
+        rows += [row for row in self._gone.values() if row.version > version]
+        return TableDelta(self.name, self.version, False, tuple(sorted(rows, key=_by_version)))
+
+    def _take_row(self, row: TableRow) -> bool:
+        known = self._rows.get(row.key) or self._gone.get(row.key)
+        if known is not None and known.version >= row.version:
+            return False
+        if row.value is None:
+            had = row.key in self._rows
+            self._remove(row.key, row.version)
+            return had
+        self._gone.pop(row.key, None)
+        self._rows[row.key] = row
+        return True
+
+    def _remove(self, key: str, version: int) -> TableRow:
+        self._rows.pop(key, None)
+        gone = self._gone[key] = TableRow(key, version, None)
+        while len(self._gone) > GONE_KEPT:
+            oldest = min(self._gone.values(), key=_by_version)
+            self._gone_floor = max(self._gone_floor, oldest.version)
+            del self._gone[oldest.key]
+        return gone
+
+
+def changed_after(rows: Iterable[TableRow], version: int) -> list[TableRow]:
+    """Return the rows written after a version, in order."""
+    return sorted((row for row in rows if row.version > version), key=_by_version)
+
+
+def _by_version(row: TableRow) -> int:
+    return row.version
--- /dev/null
+++ b/dunlinnotch/state/instances.py
@@ -0,0 +1,160 @@
+"""Targets by instance: what the platform lists and what this box has seen of each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from dunlinnotch.protocol.relay import TargetReport
+    from dunlinnotch.types import Address, Seconds
+
+#: Ended instances remembered, so that a late word does not bring one back.
+_ENDED_KEPT = 4000
+#: Above any sequence: an instance that said it leaves never comes back.
+_NEVER = 1 << 62
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """What the platform's list says of one start of a target.
+
+    Parameters
+    ----------
+    instance : str
+        Appears nowhere else, not even after a restart at the same address.
+    service, place : str
+    address : str
+    slots : int
+    leaving : bool
+    sequence : int
+        Grows with each word of the target.
+    cold_s : float
+        Seconds for which it is still slow from its start.
+    """
+
+    instance: str
+    service: str
+    place: str
+    address: Address
+    slots: int
+    leaving: bool
+    sequence: int
+    cold_s: Seconds
+
+
+@dataclass(slots=True, eq=False)
+class Instance:
+    """One target with what this box has seen of it."""
+
+    listed: ListedTarget
+    cold_until: Seconds = 0.0
+    own: int = 0
+    sent_since_report: int = 0
+    report: TargetReport | None = None
+    reported_at: Seconds = -1e9
+    failures: int = 0
+    aside_until: Seconds = 0.0
+    replaced: bool = False
+    lapsed_at: Seconds | None = None
+    well: bool = True
+
+    @property
+    def name(self) -> str:
+        """The instance's own name."""
+        return self.listed.instance
+
+    @property
+    def address(self) -> Address:
+        """Where it is reached."""
+        return self.listed.address
+
+    def heard(self, report: TargetReport, now: Seconds) -> None:
+        """Take in what the target says of its load."""
+        self.report = report
+        self.reported_at = now
+        self.sent_since_report = 0
+
+
+class InstanceList:
+    """The targets that may take new work, by service.
+
+    Notes
+    -----
+    Leaving is for good: an instance that was leaving or gone does not come
+    back by a word that is older than what is known of it.
+    """
+
+    def __init__(self) -> None:
+        self._instances: dict[str, Instance] = {}
+        self._ended: dict[str, int] = {}
+        self._by_service: dict[str, list[Instance]] = {}
+
+    def take(self, listed: ListedTarget, now: Seconds) -> bool:
+        """Take in one row of the list; return whether it changed anything."""
+        known = self._instances.get(listed.instance)
+        if listed.sequence < self._ended.get(listed.instance, -1):
+            return False
+        if known is None:
+            if listed.leaving:
+                self._end(listed.instance, _NEVER)
+                return False
+            self._instances[listed.instance] = Instance(listed, cold_until=now + listed.cold_s)
+            self._ended.pop(listed.instance, None)
+            self._index()
+            return True
+        if listed.sequence < known.listed.sequence:
+            return False
+        if listed.leaving:
+            return self.leave(listed.instance, for_good=True)
+        known.listed = listed
+        known.lapsed_at = None
+        known.cold_until = now + listed.cold_s
+        self._index()
+        return True
+
+    def leave(self, instance: str, *, for_good: bool = False) -> bool:
+        """Give an instance no new work; return whether it could get any before.
+
+        Parameters
+        ----------
+        instance : str
+        for_good : bool, default False
+            Whether it said so itself; else a newer word brings it back.
+        """
+        known = self._instances.pop(instance, None)
+        if known is None:
+            return False
+        self._end(instance, _NEVER if for_good else known.listed.sequence)
+        known.replaced = True
+        self._index()
+        return True
+
+    def of(self, service: str) -> list[Instance]:
+        """Return the targets of a service."""
+        return self._by_service.get(service, [])
+
+    def all(self) -> Iterable[Instance]:
+        """Return all targets."""
+        return self._instances.values()
+
+    def find(self, instance: str) -> Instance | None:
+        """Return one target, if it may take new work."""
+        return self._instances.get(instance)
+
+    def addresses(self) -> set[Address]:
+        """Return where targets are reached."""
+        return {instance.address for instance in self._instances.values()}
+
+    def _end(self, instance: str, sequence: int) -> None:
+        self._ended[instance] = max(sequence + 1, self._ended.get(instance, 0))
+        while len(self._ended) > _ENDED_KEPT:
+            self._ended.pop(next(iter(self._ended)))
+
+    def _index(self) -> None:
+        services: dict[str, list[Instance]] = {}
+        for instance in self._instances.values():
+            services.setdefault(instance.listed.service, []).append(instance)
+        self._by_service = services
--- a/dunlinnotch/state/tree.py
+++ b/dunlinnotch/state/tree.py
@@ -15,7 +15,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
-from dunlinnotch._codec import wire
+from dunlinnotch._wire import wire
 from dunlinnotch.errors import SettingsError
 from dunlinnotch.state.schema import RunState, Settings, check_name, check_value
 from dunlinnotch.types import Address, Version
--- /dev/null
+++ b/dunlinnotch/transport/stream/common.py
@@ -0,0 +1,123 @@
+"""Heads and framing that server and client share.
+
+Messages are parsed by :mod:`httptools`, which refuses any form that two
+parsers may read differently: two lengths, a length with chunks, bare line
+ends, folded lines, chunk sizes with a sign.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dunlinnotch.protocol.http import HOP_BY_HOP
+from dunlinnotch.state.heads import Header
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Iterable, Sequence
+
+#: Bytes of a body held before the sender is made to wait.
+BODY_AHEAD = 64 * 1024
+
+_PHRASES = {
+    200: "OK",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class WriteGate:
+    """Make a writer wait while the other end does not read."""
+
+    def __init__(self) -> None:
+        self._waiter: asyncio.Event | None = None
+
+    def pause(self) -> None:
+        """Note that the transport's buffer is full."""
+        import asyncio  # noqa: PLC0415 - one name, used only when a buffer is full
+
+        self._waiter = self._waiter or asyncio.Event()
+
+    def resume(self) -> None:
+        """Let writers go on."""
+        if self._waiter is not None:
+            self._waiter.set()
+            self._waiter = None
+
+    async def wait(self) -> None:
+        """Return once the transport takes more."""
+        if self._waiter is not None:
+            await self._waiter.wait()
+
+
+def find(headers: Iterable[Header], name: str) -> str | None:
+    """Return the first value of a header, or None.
+
+    Parameters
+    ----------
+    headers : iterable of Header
+    name : str
+        In lower case.
+    """
+    for header in headers:
+        if header.name.lower() == name:
+            return header.value
+    return None
+
+
+def pass_on(headers: Iterable[Header], *, without: frozenset[str]) -> list[Header]:
+    """Return the headers that do not concern one connection only.
+
+    Parameters
+    ----------
+    headers : iterable of Header
+    without : frozenset of str
+        Further lower-case names to leave out.
+    """
+    named = list(headers)
+    listed = {
+        token.strip().lower()
+        for header in named
+        if header.name.lower() == "connection"
+        for token in header.value.split(",")
+    }
+    dropped = HOP_BY_HOP | without | listed | {"content-length"}
+    return [header for header in named if header.name.lower() not in dropped]
+
+
+def request_head(
+    method: str, path: str, headers: Iterable[Header], *, length: int | None
+) -> bytes:
+    """Return the head of a request; a body of unknown length is sent in chunks."""
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{header.name}: {header.value}" for header in headers]
+    if length is None:
+        lines.append("Transfer-Encoding: chunked")
+    elif length or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def answer_head(
+    status: int, phrase: str, headers: Sequence[Header], *, length: int | None, close: bool
+) -> bytes:
+    """Return the head of an answer; a body of unknown length is sent in chunks."""
+    lines = [f"HTTP/1.1 {status} {phrase or _PHRASES.get(status, '')}"]
+    lines += [f"{header.name}: {header.value}" for header in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    elif status not in (204, 304):
+        lines.append("Transfer-Encoding: chunked")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/dunlinnotch/transport/stream/fetch.py
@@ -0,0 +1,79 @@
+"""One request to a service of the platform, its answer read whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.protocol.attempt import BodyCutError
+from dunlinnotch.protocol.relay import NotSent
+from dunlinnotch.state.heads import Header
+from dunlinnotch.transport.stream.client import LinkBrokenError, LinkPool
+from dunlinnotch.transport.stream.common import request_head
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Address, Seconds
+
+
+class Fetched(NamedTuple):
+    """Status and body of an answer."""
+
+    status: int
+    body: bytes
+
+
+class Fetcher:
+    """Make requests to one address.
+
+    Parameters
+    ----------
+    address : str
+    most : int, default 8
+        Connections that may be open at once.
+    """
+
+    def __init__(self, address: Address, *, most: int = 8) -> None:
+        self._pool = LinkPool(address, most=most)
+        self._host = Header("Host", address)
+        self.calls = 0
+        self.failures = 0
+
+    async def fetch(
+        self, method: str, path: str, *, body: bytes = b"", timeout: Seconds
+    ) -> Fetched:
+        """Make one request.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no whole answer comes in time; the connection is not used again.
+        """
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._fetch(method, path, body)
+        except (TimeoutError, LinkBrokenError, BodyCutError) as error:
+            self.failures += 1
+            msg = f"{method} {path}: {str(error) or f'no answer within {timeout:g} s'}"
+            raise PlatformUnavailableError(msg) from None
+
+    async def _fetch(self, method: str, path: str, body: bytes) -> Fetched:
+        link = await self._pool.take()
+        if isinstance(link, NotSent):
+            raise LinkBrokenError(link.detail)
+        whole = False
+        try:
+            headers = [self._host]
+            if body:
+                headers.append(Header("Content-Type", "application/json"))
+            link.write(request_head(method, path, headers, length=len(body)) + body)
+            incoming = await link.next_answer()
+            data = b"".join([part async for part in incoming.parts()])
+            whole = True
+            return Fetched(incoming.status, data)
+        finally:
+            if whole:
+                self._pool.give_back(link)
+            else:
+                self._pool.discard(link)
--- /dev/null
+++ b/dunlinnotch/transport/stream/peers.py
@@ -0,0 +1,142 @@
+"""Peers' datagrams, and the streams on which tables are fetched."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.protocol.mesh import BoxWord, pack_delta, pack_word, unpack_delta, unpack_word
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from dunlinnotch.state.followed import TableDelta
+    from dunlinnotch.types import Address, Seconds
+
+    #: Given a table and a version, returns the changes since and their age in ms.
+    Teller = Callable[[str, int], tuple[TableDelta, int]]
+
+_REQUEST_MAX = 4096
+_TABLE_MAX = 32 * 1024 * 1024
+_CHUNK = 64 * 1024
+#: Time for a peer to ask once it has connected, in seconds.
+_ASK_S = 2.0
+
+
+class WordPort(asyncio.DatagramProtocol):
+    """Send and receive words.
+
+    Parameters
+    ----------
+    on_word : callable
+    """
+
+    def __init__(self, on_word: Callable[[BoxWord], None]) -> None:
+        self._on_word = on_word
+        self._transport: asyncio.DatagramTransport | None = None
+        self.sent_bytes = 0
+        self.bad = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Take in a word; anything else is counted."""
+        try:
+            word = unpack_word(data)
+        except ProtocolError:
+            self.bad += 1
+            return
+        self._on_word(word)
+
+    def error_received(self, exc: Exception) -> None:
+        """Do nothing: a peer that is not there is noticed by its silence."""
+
+    def send(self, word: BoxWord, to: Iterable[Address]) -> None:
+        """Send a word to some peers."""
+        if self._transport is None:
+            return
+        data = pack_word(word)
+        for address in to:
+            host, _, port = address.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+            self.sent_bytes += len(data)
+
+
+class TablePort:
+    """Tell peers that ask what changed in a table.
+
+    Parameters
+    ----------
+    tell : callable
+    """
+
+    def __init__(self, tell: Teller) -> None:
+        self._tell = tell
+        self._server: asyncio.Server | None = None
+        self.sent_bytes = 0
+
+    async def listen(self, address: Address) -> None:
+        """Begin to listen."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def close(self) -> None:
+        """Take no more questions."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(_ASK_S):
+                question = await _read_object(reader, _REQUEST_MAX)
+            delta, age_ms = self._tell(str(question["t"]), int(question["v"]))
+            data: bytes = msgpack.packb(pack_delta(delta, age_ms=age_ms))
+            writer.write(data)
+            self.sent_bytes += len(data)
+            await writer.drain()
+        except (TimeoutError, OSError, ProtocolError, KeyError, ValueError, TypeError):
+            pass  # A peer that asks nothing sensible, or left, is not answered.
+        finally:
+            writer.close()
+
+
+async def fetch_table(
+    address: Address, table: str, version: int, *, timeout: Seconds
+) -> tuple[TableDelta, int]:
+    """Ask a peer for what changed in a table after a version.
+
+    Raises
+    ------
+    ProtocolError, OSError, TimeoutError
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(timeout):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(msgpack.packb({"t": table, "v": version}))
+            return unpack_delta(await _read_object(reader, _TABLE_MAX))
+        finally:
+            writer.close()
+
+
+async def _read_object(reader: asyncio.StreamReader, most: int) -> Any:  # noqa: ANN401
+    unpacker = msgpack.Unpacker(max_buffer_size=most)
+    while True:
+        data = await reader.read(_CHUNK)
+        if not data:
+            msg = "the stream ended inside an object"
+            raise ProtocolError(msg)
+        try:
+            unpacker.feed(data)
+            return unpacker.unpack()
+        except msgpack.OutOfData:
+            continue
+        except (ValueError, msgpack.UnpackException) as error:
+            msg = f"no msgpack object: {error}"
+            raise ProtocolError(msg) from None
--- /dev/null
+++ b/dunlinnotch/transport/stream/server.py
@@ -0,0 +1,476 @@
+"""Serve HTTP/1.1: one task for each connection, written straight down."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from typing import TYPE_CHECKING
+
+import httptools
+
+from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
+from dunlinnotch.state.heads import Header
+from dunlinnotch.transport.stream.common import BODY_AHEAD, WriteGate, answer_head, find
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+
+    from dunlinnotch.types import Address, Seconds
+
+    Handler = Callable[["Exchange"], Awaitable[None]]
+
+_HEADERS_MAX = 100
+#: Requests that a connection may send ahead of their answers.
+_AHEAD_MAX = 4
+#: Time given to the rest of a body that nobody wants, in seconds.
+_DISCARD_S = 1.0
+_BACKLOG = 1024
+
+_log = logging.getLogger(__name__)
+
+
+class ServerLimits:
+    """What callers may send, and for how long they may be silent.
+
+    Parameters
+    ----------
+    head_bytes, body_bytes : int
+    head_s, idle_s : float
+        Seconds for a whole head, and between two requests.
+    """
+
+    __slots__ = ("body_bytes", "head_bytes", "head_s", "idle_s")
+
+    def __init__(
+        self,
+        *,
+        head_bytes: int = 16384,
+        body_bytes: int = 64 * 1024 * 1024,
+        head_s: Seconds = 5.0,
+        idle_s: Seconds = 60.0,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_s = head_s
+        self.idle_s = idle_s
+
+
+class Exchange:
+    """One request of a connection and its answer.
+
+    Attributes
+    ----------
+    method, path : str
+        As received.
+    headers : list of Header
+    length : int or None
+        Bytes in the body; ``None`` if it comes in chunks.
+    arrived : float
+        Monotonic seconds at the end of the head.
+    """
+
+    def __init__(self, link: ServerLink, arrived: Seconds) -> None:
+        self._link = link
+        self.method = ""
+        self.path = ""
+        self.headers: list[Header] = []
+        self.length: int | None = 0
+        self.arrived = arrived
+        self.keep_alive = True
+        self.error: int = 0
+        self._parts: deque[bytes] = deque()
+        self._held = 0
+        self._received = 0
+        self._body_done = False
+        self._body_news = asyncio.Event()
+        self._begun = False
+        self._ended = False
+        self._chunked = False
+
+    def header(self, name: str) -> str | None:
+        """Return a header's first value; ``name`` in lower case."""
+        return find(self.headers, name)
+
+    # -- body of the request
+
+    def feed(self, part: bytes) -> None:
+        """Take in a part of the body."""
+        self._received += len(part)
+        if self._received > self._link.server.limits.body_bytes:
+            self.error = self.error or 413
+        self._parts.append(part)
+        self._held += len(part)
+        if self._held > BODY_AHEAD:
+            self._link.pause_reading()
+        self._body_news.set()
+
+    def feed_end(self) -> None:
+        """Note the end of the body."""
+        self._body_done = True
+        self._body_news.set()
+
+    @property
+    def body_done(self) -> bool:
+        """Whether the whole request has been received."""
+        return self._body_done
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the request's body.
+
+        Raises
+        ------
+        BodyCutError
+            If it is longer than allowed or breaks its framing.
+        """
+        if not self._body_done and (self.header("expect") or "").lower() == "100-continue":
+            self._link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        while True:
+            while self._parts:
+                part = self._parts.popleft()
+                self._held -= len(part)
+                if self._held <= BODY_AHEAD:
+                    self._link.resume_reading()
+                yield part
+            if self.error:
+                msg = f"the body can't be taken (status {self.error})"
+                raise BodyCutError(msg)
+            if self._body_done:
+                return
+            self._body_news.clear()
+            await self._body_news.wait()
+
+    async def discard_body(self) -> bool:
+        """Read what is left of the body; return whether its end came in time."""
+        if self._body_done:
+            self._parts.clear()
+            return not self.error
+        try:
+            async with asyncio.timeout(_DISCARD_S):
+                async for _ in self.body():
+                    pass
+        except (TimeoutError, BodyCutError):
+            return False
+        return True
+
+    # -- the answer
+
+    @property
+    def begun(self) -> bool:
+        """Whether the answer's head has gone out."""
+        return self._begun
+
+    @property
+    def ended(self) -> bool:
+        """Whether the whole answer has gone out."""
+        return self._ended
+
+    def begin(
+        self, status: int, headers: Sequence[Header], *, length: int | None, phrase: str = ""
+    ) -> None:
+        """Send the answer's head."""
+        bodiless = self.method == "HEAD" or status in (204, 304)
+        self._chunked = length is None and not bodiless
+        self._begun = True
+        self.keep_alive = self.keep_alive and not self._link.server.last_answers
+        close = self._link.closing or not self.keep_alive
+        shown = None if status in (204, 304) else length
+        self._link.write(answer_head(status, phrase, headers, length=shown, close=close))
+
+    async def send(self, part: bytes) -> None:
+        """Send a part of the answer's body.
+
+        Raises
+        ------
+        CallerGoneError
+        """
+        if self._link.gone:
+            msg = "the caller has closed its connection"
+            raise CallerGoneError(msg)
+        if part:
+            self._link.write(b"%x\r\n%b\r\n" % (len(part), part) if self._chunked else part)
+            await self._link.gate.wait()
+
+    def finish(self) -> None:
+        """End the answer cleanly."""
+        if self._chunked:
+            self._link.write(b"0\r\n\r\n")
+        self._ended = True
+
+    def reply(self, status: int, headers: Sequence[Header], body: bytes, phrase: str = "") -> None:
+        """Send a whole answer."""
+        self.begin(status, headers, length=len(body), phrase=phrase)
+        if body and self.method != "HEAD":
+            self._link.write(body)
+        self._ended = True
+
+    def close_after(self) -> None:
+        """Have the connection closed once this answer is out."""
+        self.keep_alive = False
+
+
+class ServerLink(asyncio.Protocol):
+    """One caller's connection."""
+
+    def __init__(self, server: StreamServer) -> None:
+        self.server = server
+        self.gate = WriteGate()
+        self.gone = False
+        self.busy = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._reading: Exchange | None = None
+        self._waiting: deque[Exchange] = deque()
+        self._news = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._paused = False
+        self._head_size = 0
+        self._head_started: Seconds | None = None
+        self._broken = False
+        self._begun = Exchange(self, 0.0)
+
+    # -- from the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the connection's task."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.server.links.add(self)
+        self._task = self.server.loop.create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for a caller that has gone."""
+        self.gone = True
+        self.server.links.discard(self)
+        self.gate.resume()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Close: a caller that ends its side has left."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Make writers wait."""
+        self.gate.pause()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.gate.resume()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came."""
+        if self._broken:
+            return
+        if self._reading is None:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break(400)
+        except httptools.HttpParserError:
+            self._break(400)
+        if self._reading is None and self._head_size > self.server.limits.head_bytes:
+            self._break(431)
+        if len(self._waiting) > _AHEAD_MAX:
+            self.pause_reading()
+
+    def _break(self, status: int) -> None:
+        """Note that the byte stream can't be read any further."""
+        self._broken = True
+        exchange = self._reading
+        if exchange is None:
+            exchange = Exchange(self, self.server.loop.time())
+            self._waiting.append(exchange)
+        exchange.error = exchange.error or status
+        exchange.keep_alive = False
+        exchange.feed_end()
+        self._reading = None
+        self._news.set()
+
+    # -- from the parser
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._begun = Exchange(self, 0.0)
+        self._head_started = self.server.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        self._begun.path += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        header = Header(name.decode("latin-1"), value.decode("latin-1"))
+        if len(self._begun.headers) >= _HEADERS_MAX:
+            self._begun.error = 431
+            return
+        if header.name.lower() == "host" and self._begun.header("host") is not None:
+            self._begun.error = 400
+        self._begun.headers.append(header)
+
+    def on_headers_complete(self) -> None:
+        """Hand the request to the connection's task."""
+        exchange = self._begun
+        exchange.method = self._parser.get_method().decode("latin-1")
+        exchange.keep_alive = bool(self._parser.should_keep_alive())
+        exchange.arrived = self.server.loop.time()
+        coding = exchange.header("transfer-encoding")
+        if coding is not None:
+            exchange.length = None
+            if coding.strip().lower() != "chunked":
+                exchange.error = 400
+        else:
+            exchange.length = int(exchange.header("content-length") or 0)
+        if (exchange.length or 0) > self.server.limits.body_bytes:
+            exchange.error = 413
+        self._reading = exchange
+        self._head_size = 0
+        self._head_started = None
+        self._waiting.append(exchange)
+        self._news.set()
+
+    def on_body(self, body: bytes) -> None:
+        """Hand a part of the body on."""
+        if self._reading is not None:
+            self._reading.feed(body)
+
+    def on_message_complete(self) -> None:
+        """End the request."""
+        if self._reading is not None:
+            self._reading.feed_end()
+        self._reading = None
+
+    # -- for exchanges
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is to be closed after the answer under way."""
+        return self.server.closing or self._broken
+
+    def write(self, data: bytes) -> None:
+        """Write without waiting."""
+        if self._transport is not None and not self.gone:
+            self._transport.write(data)
+
+    def pause_reading(self) -> None:
+        """Stop taking bytes from the caller."""
+        if not self._paused and self._transport is not None and not self.gone:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Take bytes from the caller again."""
+        if self._paused and self._transport is not None and not self.gone:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        """Close once what was written is out."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # -- the connection's task
+
+    async def _serve(self) -> None:
+        try:
+            while await self._next():
+                exchange = self._waiting.popleft()
+                self.resume_reading()
+                self.busy = True
+                await self._answer(exchange)
+                self.busy = False
+                if not exchange.keep_alive or self.closing or not exchange.ended:
+                    break
+        except asyncio.CancelledError:
+            if not self.gone:
+                raise
+        finally:
+            self.close()
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if exchange.error:
+            exchange.close_after()
+            exchange.reply(exchange.error, (), b"")
+        else:
+            await self.server.handler(exchange)
+        if not await exchange.discard_body():
+            exchange.close_after()
+
+    async def _next(self) -> bool:
+        """Wait for a request; return False if the connection is to be closed."""
+        limits = self.server.limits
+        rested = self.server.loop.time()
+        while not self._waiting:
+            if self.server.closing or self._broken:
+                return False
+            now = self.server.loop.time()
+            if self._head_started is not None:
+                until = self._head_started + limits.head_s
+            else:
+                until = rested + limits.idle_s
+            if now >= until:
+                if self._head_started is not None:
+                    self._break(408)
+                    continue
+                return False
+            self._news.clear()
+            try:
+                async with asyncio.timeout(until - now):
+                    await self._news.wait()
+            except TimeoutError:
+                continue
+        return True
+
+    def wake(self) -> None:
+        """Have an idle connection see that the server closes."""
+        self._news.set()
+
+
+class StreamServer:
+    """Listen on one address and answer by one handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Serves one :class:`Exchange`; it is cancelled when the caller goes.
+    limits : ServerLimits, optional
+    """
+
+    def __init__(self, handler: Handler, *, limits: ServerLimits | None = None) -> None:
+        self.handler = handler
+        self.limits = limits or ServerLimits()
+        self.loop = asyncio.get_running_loop()
+        self.links: set[ServerLink] = set()
+        self.closing = False
+        #: Whether each connection is closed after the answer it gets next.
+        self.last_answers = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: Address) -> Address:
+        """Begin to listen; return the address, its port filled in by the kernel if 0."""
+        host, _, port = address.rpartition(":")
+        self._server = await self.loop.create_server(
+            lambda: ServerLink(self), host, int(port), backlog=_BACKLOG, reuse_address=True
+        )
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    def stop_listening(self) -> None:
+        """Take no new connections; those that there are go on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> None:
+        """Close idle connections, and each other one after its answer."""
+        self.closing = True
+        for link in list(self.links):
+            link.wake()
+
+    async def close(self) -> None:
+        """Close everything now."""
+        self.stop_listening()
+        self.close_idle()
+        for link in list(self.links):
+            link.close()
+        await asyncio.sleep(0)
