--- a/dunlinnotch/platform/doors.py
+++ b/dunlinnotch/platform/doors.py
@@ -17,7 +17,7 @@
 #: Addresses that one answer may hold.
 _ADDRESSES_MOST = 64
 #: How long a client may keep an answer, in seconds.
-_TTL_S = 1.5
+_TTL_S = 5.0
 
 _JSON = (Header("Content-Type", "application/json"),)
 _TEXT = (Header("Content-Type", "text/plain; version=0.0.4"),)
