--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -16,17 +16,18 @@
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.bodies import HeldBody
 from dunlinnotch.coordination.fresh import FRESH_S, excess
-from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
-from dunlinnotch.protocol.relay import Answered, Asked, NotRun, NotSent, TargetReport
+from dunlinnotch.protocol.relay import Answered, Asked, NotRun, NotSent
 from dunlinnotch.state.heads import Header
+from dunlinnotch.state.instances import TargetReport
 
 if TYPE_CHECKING:
     import random
     from collections.abc import AsyncIterator, Callable, Coroutine
 
     from dunlinnotch.coordination.fresh import FreshChooser
+    from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
@@ -570,7 +571,7 @@
     # -- logs
 
     @staticmethod
-    def _log_belief(name: str, instance: Instance, **fields: object) -> None:
+    def _log_belief(name: str, instance: Instance, *, now_there: str | None = None) -> None:
         event(
             _log,
             name,
@@ -578,7 +579,7 @@
             service=instance.listed.service,
             target=instance.address,
             sequence=instance.listed.sequence,
-            **fields,
+            now_there=now_there,
         )
 
     def _log_end(self, run: _Run, ending: Ending) -> None:
--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/mesh.py
@@ -130,15 +130,20 @@
 
     @staticmethod
     def _differs(old: BoxWord, new: BoxWord) -> bool:
-        return (old.state, old.incarnation, old.reading) != (new.state, new.incarnation, new.reading)
+        return (old.state, old.incarnation, old.reading) != (
+            new.state,
+            new.incarnation,
+            new.reading,
+        )
 
     def _verify_by(self, word: BoxWord, now: Seconds) -> None:
         """Take over how fresh the sender's tables are where ours are as new."""
         for name, state in word.tables.items():
             table = self._tables.get(name)
-            if table is not None and state.age_ms >= 0 and table.known:
-                if state.version <= table.version:
-                    table.verify(now - state.age_ms / 1000)
+            if table is None or not table.known or state.age_ms < 0:
+                continue
+            if state.version <= table.version:
+                table.verify(now - state.age_ms / 1000)
 
     def newer(self, word: BoxWord) -> list[str]:
         """Return the tables that the sender of a word knows further than this box."""
--- a/dunlinnotch/coordination/seats.py
+++ b/dunlinnotch/coordination/seats.py
@@ -14,6 +14,7 @@
 
 from dunlinnotch import _codec
 from dunlinnotch._logs import event
+from dunlinnotch._wire import wire
 from dunlinnotch.coordination.subset import rank_hash
 from dunlinnotch.errors import PlatformUnavailableError, ProtocolError
 from dunlinnotch.protocol.platform import Check, Put, Transaction, TransactResult
@@ -35,7 +36,7 @@
 _log = logging.getLogger(__name__)
 
 
-@_codec.wire
+@wire
 @dataclass(frozen=True, slots=True)
 class SeatValue:
     """Value of a seat's row.
--- a/dunlinnotch/coordination/shares.py
+++ b/dunlinnotch/coordination/shares.py
@@ -19,7 +19,7 @@
 
 
 class ProbeShare:
-    """This box's share of the probes that one target may get.
+    """The share of one box of the probes that one target may get.
 
     Parameters
     ----------
@@ -68,7 +68,7 @@
 
 
 class RepeatShare:
-    """This box's share of the repeats that one service may get.
+    """The share of one box of the repeats that one service may get.
 
     Over each window, all boxes' repeats stay within ``ratio`` times the
     requests for the service, plus ``slack``.
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from dunlinnotch.protocol.mesh import BoxWord
     from dunlinnotch.protocol.relay import CallerRequest, TargetDialect
@@ -200,9 +200,7 @@
         await self._front.listen(self._settings.caller)
         await self._table_port.listen(self._settings.peer)
         host, _, port = self._settings.peer.rpartition(":")
-        await self._loop.create_datagram_endpoint(
-            lambda: self._words, local_addr=(host, int(port))
-        )
+        await self._loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
         event(_log, "started", box=self.mesh.name, place=self.mesh.place, caller=self.mesh.peer)
         self._spawn(self._send_words())
         await self._hear_peers()
@@ -221,15 +219,15 @@
         """Whether the box takes new work."""
         return self.mesh.state == RUNNING
 
-    def _spawn(self, work: object) -> None:
-        task = self._loop.create_task(self._guard(work))  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(self._guard(work))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _guard(self, work: object) -> None:
+    async def _guard(self, work: Coroutine[None, None, None]) -> None:
         """Run a task; an error nobody foresaw ends the process, not just the task."""
         try:
-            await work  # type: ignore[misc]
+            await work
         except Exception:
             _log.critical("task-failed", exc_info=True)
             self._stop_asked.set()
--- a/dunlinnotch/daemon/figures.py
+++ b/dunlinnotch/daemon/figures.py
@@ -99,9 +99,7 @@
     for end, count in zip((*BUCKETS, float("inf")), histogram.counts, strict=True):
         total += count
         shown = "+Inf" if end == float("inf") else f"{end:g}"
-        lines.append(
-            f'dunlinnotch_request_seconds_bucket{{kind="{kind}",le="{shown}"}} {total}'
-        )
+        lines.append(f'dunlinnotch_request_seconds_bucket{{kind="{kind}",le="{shown}"}} {total}')
     lines.append(f'dunlinnotch_request_seconds_sum{{kind="{kind}"}} {histogram.sum:.6f}')
     lines.append(f'dunlinnotch_request_seconds_count{{kind="{kind}"}} {total}')
     return lines
--- a/dunlinnotch/platform/__main__.py
+++ b/dunlinnotch/platform/__main__.py
@@ -13,7 +13,7 @@
 from pathlib import Path  # noqa: E402
 
 from dunlinnotch._logs import BoundedStream, configure_stream  # noqa: E402
-from dunlinnotch.daemon.entry import Adapter, EntryBox, run_until_stopped  # noqa: E402
+from dunlinnotch.daemon.entry import Adapter, EntryBox, EntrySettings, run_until_stopped  # noqa: E402
 from dunlinnotch.errors import ConfigError  # noqa: E402
 from dunlinnotch.platform import documents, settings_file  # noqa: E402
 from dunlinnotch.platform.dialect import WorkerDialect, read_request  # noqa: E402
@@ -40,9 +40,7 @@
     return 0
 
 
-async def _run(
-    settings: settings_file.EntrySettings, doors: settings_file.Doors, stream: BoundedStream
-) -> None:
+async def _run(settings: EntrySettings, doors: settings_file.Doors, stream: BoundedStream) -> None:
     store = PlatformStore(doors.store)
     adapter = Adapter(
         source=store,
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from dunlinnotch.protocol.relay import CallerRequest, TargetReport, Verdict
+from dunlinnotch.protocol.relay import CallerRequest, Verdict
 from dunlinnotch.state.heads import Header
+from dunlinnotch.state.instances import TargetReport
 from dunlinnotch.transport.stream.common import find, pass_on
 
 if TYPE_CHECKING:
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -11,6 +11,7 @@
 
     from dunlinnotch.protocol.outcome import Reason
     from dunlinnotch.state.heads import AnswerHead, Header
+    from dunlinnotch.state.instances import TargetReport
     from dunlinnotch.types import Address, Seconds
 
 
@@ -44,25 +45,6 @@
     length: int | None = 0
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReport:
-    """What a target says of its load.
-
-    Parameters
-    ----------
-    running, waiting, slots : int
-        Requests that it works on, requests that wait there, and how many it
-        works on at once.
-    slowness : float, default 1.0
-        How long work takes there now; 1 is as usual.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    slowness: float = 1.0
-
-
 class Verdict(Enum):
     """What the head of an answer is to the request that waits for one."""
 
--- a/dunlinnotch/standins/platform.py
+++ b/dunlinnotch/standins/platform.py
@@ -15,6 +15,7 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from dunlinnotch import _codec
+from dunlinnotch._wire import wire
 from dunlinnotch.protocol.platform import ListedBox, Row, Transaction, TransactResult
 from dunlinnotch.standins.common import body_of, guarded, run_until_signal, send, serve
 
@@ -22,7 +23,7 @@
     from dunlinnotch.transport.exchange import Exchange
 
 
-@_codec.wire
+@wire
 @dataclass(frozen=True, slots=True)
 class PlatformFaults:
     """What goes wrong at the platform.
--- a/dunlinnotch/standins/target.py
+++ b/dunlinnotch/standins/target.py
@@ -19,6 +19,7 @@
 import xxhash
 
 from dunlinnotch import _codec
+from dunlinnotch._wire import wire
 from dunlinnotch.protocol import http
 from dunlinnotch.protocol.attempt import BodyCutError
 from dunlinnotch.standins.common import JSON, body_of, guarded, run_until_signal, send, serve
@@ -36,7 +37,7 @@
 _PART = 64 * 1024
 
 
-@_codec.wire
+@wire
 @dataclass(frozen=True, slots=True)
 class TargetFaults:
     """What goes wrong at a target.
@@ -80,7 +81,7 @@
     cold_s: float = 0.0
 
 
-@_codec.wire
+@wire
 @dataclass(frozen=True, slots=True)
 class TargetReport:
     """What a target has done, for checks.
@@ -100,7 +101,7 @@
     refused: int
 
 
-@_codec.wire
+@wire
 @dataclass(frozen=True, slots=True)
 class Echo:
     """The answer to work."""
--- /dev/null
+++ b/dunlinnotch/standins/users/worker.py
@@ -0,0 +1,259 @@
+"""A worker as the users' pages describe it, with the ways in which it goes wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from dunlinnotch.protocol.attempt import BodyCutError
+from dunlinnotch.state.heads import Header
+from dunlinnotch.transport.stream.server import StreamServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from dunlinnotch.transport.stream.server import Exchange
+
+_FOREVER_S = 3600.0
+_numbers = itertools.count(1)
+
+
+class WorkerFault(StrEnum):
+    """What is wrong with an answer."""
+
+    NONE = "none"
+    #: It runs the request and breaks off before the answer.
+    LOST = "lost"
+    #: It ends the answer early.
+    CUT = "cut"
+    #: It sends bytes that are no answer.
+    NOISE = "noise"
+    #: It sends a second whole answer right after the first.
+    SURPLUS = "surplus"
+    #: It sends the second answer where the next one is due.
+    LATE_SURPLUS = "late-surplus"
+    #: Its answer has no length and ends with the connection.
+    UNFRAMED = "unframed"
+    #: The same, and the connection is reset before the end.
+    UNFRAMED_RESET = "unframed-reset"
+    #: It answers 500 and has run the request.
+    ERROR = "error"
+    #: It answers 503 without saying that the request did not run.
+    BARE_503 = "bare-503"
+    #: Its success has no seal.
+    UNSEALED = "unsealed"
+    #: It never answers.
+    MUTE = "mute"
+    #: It answers a long request before its body is in, and goes on reading.
+    EARLY = "early"
+
+
+@dataclass(slots=True)
+class Ran:
+    """One request that a worker began to work on."""
+
+    request_id: str
+    method: str
+    path: str
+    body: bytes
+    deadline_ms: int
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class WorkerSettings:
+    """How a worker behaves.
+
+    Parameters
+    ----------
+    slots, queue : int
+    work_s : float
+    slowness : int
+        100 is as usual.
+    tells_load : bool
+    hangs_when_full : bool
+        Whether it never answers what it can't queue.
+    healthy : bool
+    """
+
+    slots: int = 3
+    queue: int = 6
+    work_s: float = 0.0
+    slowness: int = 100
+    tells_load: bool = True
+    hangs_when_full: bool = False
+    healthy: bool = True
+    faults: list[WorkerFault] = field(default_factory=list)
+
+
+class WorkerStandin:
+    """Serve the worker's protocol on loopback.
+
+    Attributes
+    ----------
+    ran : list of Ran
+        Requests that it began to work on, in order.
+    instance : str
+        Its id.
+    hold : asyncio.Event or None
+        If set, work goes on until it is set.
+    """
+
+    def __init__(self, settings: WorkerSettings | None = None) -> None:
+        self.settings = settings or WorkerSettings()
+        self.instance = f"i-{next(_numbers):08x}"
+        self.ran: list[Ran] = []
+        self.arrived = 0
+        self.probes = 0
+        self.dropped = 0
+        self.address = ""
+        self.hold: asyncio.Event | None = None
+        self.began = asyncio.Event()
+        self._running = 0
+        self._waiting = 0
+        self._slots = asyncio.Semaphore(self.settings.slots)
+        self._server: StreamServer | None = None
+        self._late: dict[int, bytes] = {}
+
+    async def start(self, address: str = "127.0.0.1:0") -> str:
+        """Begin to listen; return the address."""
+        self._server = StreamServer(self._serve)
+        self.address = await self._server.listen(address)
+        return self.address
+
+    async def close(self) -> None:
+        """Stop at once."""
+        if self._server is not None:
+            await self._server.close()
+
+    def replace(self) -> str:
+        """Have another worker take over the address; return its id."""
+        self.instance = f"i-{next(_numbers):08x}"
+        return self.instance
+
+    def row(self, service: str, *, zone: str, state: str = "ready", sequence: int = 1) -> object:
+        """Return the row in which it records itself."""
+        return {
+            "address": self.address,
+            "info": {
+                "service": service,
+                "version": "v1",
+                "zone": zone,
+                "capacity": self.settings.slots,
+            },
+            "status": {"state": state, "sequence": sequence, "warmup-left": "0ms"},
+        }
+
+    async def _serve(self, exchange: Exchange) -> None:
+        if exchange.header("attempt-id") is None and exchange.path == "/health":
+            self.probes += 1
+            status = 200 if self.settings.healthy else 503
+            exchange.reply(status, [Header("Instance-Id", self.instance), *self._load()], b"")
+            return
+        self.arrived += 1
+        request_id = exchange.header("attempt-id") or ""
+        expected = exchange.header("expect-instance")
+        if expected is not None and expected != self.instance:
+            exchange.reply(421, [Header("Instance-Id", self.instance)], b"")
+            return
+        if self._running + self._waiting >= self.settings.slots + self.settings.queue:
+            if self.settings.hangs_when_full:
+                await asyncio.sleep(_FOREVER_S)
+            exchange.reply(503, [Header("Not-Executed", "1"), _id(request_id)], b"")
+            return
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        run = Ran(
+            request_id,
+            exchange.method,
+            exchange.path,
+            b"",
+            int(exchange.header("deadline-ms") or 0),
+        )
+        try:
+            await self._run(exchange, run)
+        except (asyncio.CancelledError, BodyCutError):
+            self.dropped += 1
+            raise
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    async def _run(self, exchange: Exchange, run: Ran) -> None:
+        fault = self.settings.faults.pop(0) if self.settings.faults else WorkerFault.NONE
+        if fault is WorkerFault.EARLY:
+            exchange.reply(503, [Header("Not-Executed", "1"), _id(run.request_id)], b"")
+            return
+        run.body = b"".join([part async for part in exchange.body()])
+        self.ran.append(run)
+        self.began.set()
+        if self.hold is not None:
+            await self.hold.wait()
+        if self.settings.work_s:
+            await asyncio.sleep(self.settings.work_s * self.settings.slowness / 100)
+        run.finished = True
+        await self._answer(exchange, run, fault)
+
+    async def _answer(self, exchange: Exchange, run: Ran, fault: WorkerFault) -> None:
+        body = f"{self.instance} ran {run.request_id}".encode()
+        headers = [_id(run.request_id), Header("Response-Seal", f"seal-{run.request_id}")]
+        headers += self._load()
+        simple: dict[WorkerFault, Callable[[], None]] = {
+            WorkerFault.NONE: lambda: exchange.reply(200, headers, body),
+            WorkerFault.LOST: exchange.abort,
+            WorkerFault.ERROR: lambda: exchange.reply(500, headers, b"failed"),
+            WorkerFault.BARE_503: lambda: exchange.reply(503, headers, b""),
+            WorkerFault.UNSEALED: lambda: exchange.reply(200, [headers[0]], body),
+        }
+        if fault in simple:
+            simple[fault]()
+            return
+        if fault is WorkerFault.MUTE:
+            await asyncio.sleep(_FOREVER_S)
+        await self._answer_badly(exchange, headers, body, fault)
+
+    async def _answer_badly(
+        self, exchange: Exchange, headers: list[Header], body: bytes, fault: WorkerFault
+    ) -> None:
+        whole = _answer_bytes(headers, body)
+        if fault is WorkerFault.SURPLUS:
+            exchange.write_raw(whole + whole)
+            exchange.mark_ended()
+        elif fault is WorkerFault.LATE_SURPLUS:
+            exchange.write_raw(whole)
+            exchange.mark_ended()
+            asyncio.get_running_loop().call_later(0.01, exchange.write_raw, whole)
+        elif fault is WorkerFault.CUT:
+            exchange.write_raw(whole[:-3])
+        elif fault is WorkerFault.NOISE:
+            exchange.write_raw(b"\x00\xff no answer at all\r\n\r\n")
+        else:
+            head = whole.partition(b"Content-Length")[0]
+            rest = body if fault is WorkerFault.UNFRAMED else body[:-3]
+            exchange.write_raw(head + b"Connection: close\r\n\r\n" + rest)
+            if fault is WorkerFault.UNFRAMED_RESET:
+                await asyncio.sleep(0.01)
+                exchange.abort()
+
+    def _load(self) -> list[Header]:
+        if not self.settings.tells_load:
+            return []
+        figures = (self._running, self._waiting, self.settings.slots, self.settings.slowness)
+        return [Header("Instance-Load", ",".join(map(str, figures)))]
+
+
+def _id(request_id: str) -> Header:
+    return Header("Attempt-Id", request_id)
+
+
+def _answer_bytes(headers: list[Header], body: bytes) -> bytes:
+    lines = ["HTTP/1.1 200 OK", *(f"{h.name}: {h.value}" for h in headers)]
+    lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/dunlinnotch/state/followed.py
+++ b/dunlinnotch/state/followed.py
@@ -98,7 +98,9 @@
         changed = [row for row in delta.rows if self._take_row(row)]
         if delta.whole:
             present = {row.key for row in delta.rows}
-            changed += [self._remove(k, delta.version) for k in list(self._rows) if k not in present]
+            changed += [
+                self._remove(k, delta.version) for k in list(self._rows) if k not in present
+            ]
         self.version = delta.version
         self.verify(at)
         if changed:
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -8,7 +8,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from dunlinnotch.protocol.relay import TargetReport
     from dunlinnotch.types import Address, Seconds
 
 #: Ended instances remembered, so that a late word does not bring one back.
@@ -17,6 +16,25 @@
 _NEVER = 1 << 62
 
 
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target says of its load.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, requests that wait there, and how many it
+        works on at once.
+    slowness : float, default 1.0
+        How long work takes there now; 1 is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
     """What the platform's list says of one start of a target.
--- a/dunlinnotch/transport/stream/common.py
+++ b/dunlinnotch/transport/stream/common.py
@@ -10,12 +10,13 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch.protocol.http import HOP_BY_HOP
-from dunlinnotch.state.heads import Header
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterable, Sequence
 
+    from dunlinnotch.state.heads import Header
+
 #: Bytes of a body held before the sender is made to wait.
 BODY_AHEAD = 64 * 1024
 
@@ -95,9 +96,7 @@
     return [header for header in named if header.name.lower() not in dropped]
 
 
-def request_head(
-    method: str, path: str, headers: Iterable[Header], *, length: int | None
-) -> bytes:
+def request_head(method: str, path: str, headers: Iterable[Header], *, length: int | None) -> bytes:
     """Return the head of a request; a body of unknown length is sent in chunks."""
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{header.name}: {header.value}" for header in headers]
--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -204,6 +204,24 @@
             self._link.write(body)
         self._ended = True
 
+    @property
+    def remote(self) -> str:
+        """The caller's IP number."""
+        return self._link.remote
+
+    def write_raw(self, data: bytes) -> None:
+        """Send bytes as they are; for stand-ins that answer badly."""
+        self._begun = True
+        self._link.write(data)
+
+    def mark_ended(self) -> None:
+        """Count what was sent raw as a whole answer."""
+        self._ended = True
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._link.abort()
+
     def close_after(self) -> None:
         """Have the connection closed once this answer is out."""
         self.keep_alive = False
@@ -365,6 +383,17 @@
             self._paused = False
             self._transport.resume_reading()
 
+    @property
+    def remote(self) -> str:
+        """The caller's IP number."""
+        peer = None if self._transport is None else self._transport.get_extra_info("peername")
+        return "" if peer is None else str(peer[0])
+
+    def abort(self) -> None:
+        """Reset."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         """Close once what was written is out."""
         if self._transport is not None:
