--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -187,7 +187,7 @@
         self._servers: list[StreamServer] = []
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._refusing = False
+        self.refusing = False
         self._trouble_at: Seconds = -1e9
         self._stop_asked = asyncio.Event()
 
@@ -210,10 +210,19 @@
         await self._stop_asked.wait()
         await self._stop()
 
+    def ask_to_stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop_asked.set()
+
     def add_server(self, server: StreamServer) -> None:
         """Have a further server closed with the box."""
         self._servers.append(server)
 
+    @property
+    def caller(self) -> Address:
+        """Where callers connect."""
+        return self._settings.caller
+
     @property
     def ready(self) -> bool:
         """Whether the box takes new work."""
@@ -278,7 +287,7 @@
         self._tell_news()
         self._front.last_answers = True
         await asyncio.sleep(plan.refuse)
-        self._refusing = True
+        self.refusing = True
         await asyncio.sleep(plan.close - plan.refuse)
         self._front.stop_listening()
         self._front.close_idle()
@@ -293,7 +302,7 @@
     # -- requests
 
     async def _serve(self, exchange: Exchange) -> None:
-        if self._refusing:
+        if self.refusing:
             exchange.close_after()
             exchange.reply(503, [Header("Retry-After", "0.05")], b"")
             return
--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -26,6 +28,8 @@
 #: Time given to the rest of a body that nobody wants, in seconds.
 _DISCARD_S = 1.0
 _BACKLOG = 1024
+#: Linger on, for no time: closing resets.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _log = logging.getLogger(__name__)
 
@@ -390,9 +394,13 @@
         return "" if peer is None else str(peer[0])
 
     def abort(self) -> None:
-        """Reset."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Reset the connection rather than end it."""
+        if self._transport is None or self.gone:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
 
     def close(self) -> None:
         """Close once what was written is out."""
--- /dev/null
+++ b/tests/stream_world.py
@@ -0,0 +1,227 @@
+"""An entry box with stand-ins of the users' store and workers, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from dunlinnotch.daemon.entry import Adapter, EntryBox, EntrySettings
+from dunlinnotch.platform import documents
+from dunlinnotch.platform.dialect import WorkerDialect, read_request
+from dunlinnotch.platform.store import PlatformStore
+from dunlinnotch.standins.users.store import StoreStandin
+from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOST = "books.example"
+WAIT_S = 20.0
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def document(version: int, *, services: tuple[str, ...] = ("loans",), **changes: object) -> dict:
+    """Return an operator's document with a safe, an unsafe and an upload route."""
+    common = {
+        "host": HOST,
+        "timeout": "5000ms",
+        "target-latency": "2000ms",
+        "priority": 1,
+        "max-attempts": 3,
+        "service": services[0],
+        **changes,
+    }
+    routes = [
+        {"name": "read", "path-prefix": "/read/", "route-type": "safe", **common},
+        {"name": "lend", "path-prefix": "/lend/", "route-type": "unsafe", **common},
+        {"name": "load", "path-prefix": "/load/", "route-type": "upload", **common},
+    ]
+    return {
+        "version": f"r{version}",
+        "routes": routes,
+        "services": [
+            {"name": name, "health-path": "/health", "max-connections": 260} for name in services
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1048576,
+            "header-timeout": "3000ms",
+            "idle-timeout": "15000ms",
+        },
+    }
+
+
+@dataclass
+class Answer:
+    """What a client read."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class StreamWorld:
+    """A store, some workers and one or more boxes."""
+
+    store: StoreStandin
+    workers: list[WorkerStandin] = field(default_factory=list)
+    boxes: list[EntryBox] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+
+    async def add_worker(
+        self, settings: WorkerSettings | None = None, *, service: str = "loans"
+    ) -> WorkerStandin:
+        """Start a worker and list it."""
+        worker = WorkerStandin(settings)
+        await worker.start()
+        self.workers.append(worker)
+        self.store.put("servers", worker.instance, worker.row(service, zone="hall-a"))
+        return worker
+
+    async def add_box(
+        self, *, grace: float = 6.0, place: str = "hall-a", seeds: tuple[str, ...] = ()
+    ) -> EntryBox:
+        """Start a box and wait until it serves."""
+        box = self.make_box(grace=grace, place=place, seeds=seeds)
+        self.tasks.append(asyncio.create_task(box.run()))
+        await until(lambda: box.ready)
+        return box
+
+    def make_box(
+        self, *, grace: float = 6.0, place: str = "hall-a", seeds: tuple[str, ...] = ()
+    ) -> EntryBox:
+        """Return a box that has not been started."""
+        number = len(self.boxes) + 1
+        store = PlatformStore(self.store.address)
+        settings = EntrySettings(
+            name=f"box-{number}",
+            place=place,
+            caller=f"127.0.0.1:{free_port()}",
+            peer=f"127.0.0.1:{free_port()}",
+            seeds=seeds,
+            grace=grace,
+            probes_per_s=10_000.0,
+            repeat_ratio=0.2,
+            repeat_slack=640.0,
+            repeat_window=10.0,
+        )
+        adapter = Adapter(
+            source=store,
+            settings_table=documents.OPERATOR_TABLE,
+            settings_key=documents.OPERATOR_KEY,
+            targets_table=documents.TARGETS_TABLE,
+            read_settings=documents.read_document,
+            read_target=documents.read_worker,
+            targets=WorkerDialect(),
+            read_request=read_request,
+            store_calls=lambda: store.calls,
+            store_failures=lambda: store.failures,
+        )
+        box = EntryBox(settings, adapter, rng=random.Random(number), dropped_lines=lambda: 0)
+        self.boxes.append(box)
+        return box
+
+    @property
+    def ran(self) -> list[str]:
+        """Ids of all requests that workers began to work on."""
+        return [run.request_id for worker in self.workers for run in worker.ran]
+
+
+@contextlib.asynccontextmanager
+async def stream_world(*, boxes: int = 1, workers: int = 1) -> AsyncIterator[StreamWorld]:
+    """Run a world; everything is stopped at its end."""
+    store = StoreStandin()
+    await store.start()
+    world = StreamWorld(store)
+    store.put("op", "config", document(1))
+    for _ in range(workers):
+        await world.add_worker()
+    for number in range(boxes):
+        seeds = (world.boxes[0].mesh.peer,) if number else ()
+        await world.add_box(seeds=seeds)
+    try:
+        yield world
+    finally:
+        for task in world.tasks:
+            task.cancel()
+        await asyncio.gather(*world.tasks, return_exceptions=True)
+        for worker in world.workers:
+            await worker.close()
+        await store.close()
+
+
+async def until(condition, *, within: float = WAIT_S) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(within):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def connect(box: EntryBox) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a client's connection to a box."""
+    host, _, port = box.caller.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def head(
+    path: str,
+    request_id: str,
+    *,
+    method: str = "GET",
+    length: int | None = None,
+    deadline_ms: int = 5000,
+    extra: str = "",
+) -> bytes:
+    """Return the head of a client's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Attempt-Id: {request_id}",
+        f"Deadline-Ms: {deadline_ms}",
+    ]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    if extra:
+        lines.append(extra)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer to its last byte."""
+    raw = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = raw.strip().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Answer(int(first.split()[1]), headers, body)
+
+
+async def call(
+    box: EntryBox, path: str, request_id: str, *, method: str = "GET", body: bytes = b"", **more
+) -> Answer:
+    """Send one request on a connection of its own."""
+    reader, writer = await connect(box)
+    try:
+        async with asyncio.timeout(WAIT_S):
+            length = len(body) if body else None
+            writer.write(head(path, request_id, method=method, length=length, **more) + body)
+            return await read_answer(reader)
+    finally:
+        writer.close()
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,320 @@
+"""Whole entry boxes against stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dunlinnotch.standins.users.store import StoreFault
+from dunlinnotch.standins.users.worker import WorkerFault, WorkerSettings
+from tests.stream_world import (
+    call,
+    connect,
+    document,
+    head,
+    read_answer,
+    stream_world,
+    until,
+)
+
+
+def run(test):
+    """Run an asynchronous test."""
+    asyncio.run(test())
+
+
+def test_a_request_is_served_with_the_target_s_own_answer():
+    async def test():
+        async with stream_world() as world:
+            answer = await call(world.boxes[0], "/read/a?b=c", "one")
+            assert answer.status == 200
+            assert answer.headers["response-seal"] == "seal-one"
+            assert answer.headers["attempt-id"] == "one"
+            assert answer.body == f"{world.workers[0].instance} ran one".encode()
+            assert "instance-load" not in answer.headers
+            ran = world.workers[0].ran[0]
+            assert (ran.method, ran.path) == ("GET", "/read/a?b=c")
+            assert 0 < ran.deadline_ms <= 5000
+
+    run(test)
+
+
+def test_bodies_reach_the_target_unaltered_by_length_and_in_chunks():
+    async def test():
+        async with stream_world() as world:
+            box = world.boxes[0]
+            body = bytes(range(256)) * 3000  # more than is held
+            answer = await call(box, "/load/x", "up", method="POST", body=body)
+            assert answer.status == 200
+            reader, writer = await connect(box)
+            writer.write(head("/load/x", "ch", method="POST", extra="Transfer-Encoding: chunked"))
+            writer.write(b"5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+            assert [ran.body for ran in world.workers[0].ran] == [body, b"hello world"]
+
+    run(test)
+
+
+def test_unknown_path_is_404_and_a_bad_request_400():
+    async def test():
+        async with stream_world() as world:
+            assert (await call(world.boxes[0], "/other/", "x")).status == 404
+            reader, writer = await connect(world.boxes[0])
+            writer.write(b"GET /read/ HTTP/1.1\r\nHost: books.example\r\n\r\n")
+            assert (await read_answer(reader)).status == 400
+            writer.close()
+            assert world.ran == []
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        WorkerFault.LOST,
+        WorkerFault.CUT,
+        WorkerFault.NOISE,
+        WorkerFault.ERROR,
+        WorkerFault.BARE_503,
+        WorkerFault.UNSEALED,
+        WorkerFault.UNFRAMED_RESET,
+    ],
+)
+def test_a_spoilt_answer_is_repeated_only_where_that_is_harmless(fault):
+    async def test():
+        async with stream_world(workers=0) as world:
+            for _ in range(3):
+                await world.add_worker()
+            await until(lambda: len(world.boxes[0].instances.of("loans")) == 3)
+            # Whichever targets are tried: the first spoils it, the second too.
+            faults = [fault, fault]
+            for worker in world.workers:
+                worker.settings.faults = faults
+            safe = await call(world.boxes[0], "/read/", "safe")
+            assert safe.status == 200
+            assert safe.body.endswith(b"ran safe")
+            assert world.ran.count("safe") == 3
+            faults.append(fault)
+            once = await call(world.boxes[0], "/lend/", "once", method="POST", body=b"x")
+            assert world.ran.count("once") == 1
+            # No promise that it has not run, nothing of another status's seal.
+            assert once.status in (500, 502)
+            if once.status == 502:
+                assert "response-seal" not in once.headers
+
+    run(test)
+
+
+@pytest.mark.parametrize("fault", [WorkerFault.SURPLUS, WorkerFault.LATE_SURPLUS])
+def test_surplus_answers_belong_to_nobody(fault):
+    async def test():
+        async with stream_world() as world:
+            box, worker = world.boxes[0], world.workers[0]
+            for number in range(6):
+                worker.settings.faults = [fault]
+                name = f"req{number}"
+                answer = await call(box, "/read/", name)
+                assert answer.status == 200
+                assert answer.body.endswith(f"ran {name}".encode())
+                await asyncio.sleep(0.02)
+
+    run(test)
+
+
+def test_an_answer_without_length_is_whole_once_its_connection_ends():
+    async def test():
+        async with stream_world() as world:
+            world.workers[0].settings.faults = [WorkerFault.UNFRAMED]
+            answer = await call(world.boxes[0], "/lend/", "u", method="POST", body=b"x")
+            assert answer.status == 200
+            assert answer.body.endswith(b"ran u")
+
+    run(test)
+
+
+def test_a_refusal_of_the_target_goes_to_another_one_even_for_what_may_run_once():
+    async def test():
+        async with stream_world() as world:
+            await world.add_worker(WorkerSettings(slots=1, queue=0))
+            box = world.boxes[0]
+            await until(lambda: len(box.instances.of("loans")) == 2)
+            full = world.workers[1]
+            full.hold = asyncio.Event()
+            full.settings.queue = -1  # refuses whatever it says of its load
+            for number in range(8):
+                answer = await call(box, "/lend/", f"l{number}", method="POST", body=b"x")
+                assert answer.status == 200
+            assert full.ran == []
+            assert len(set(world.ran)) == len(world.ran) == 8
+
+    run(test)
+
+
+def test_a_target_whose_address_another_has_taken_over_gets_nothing():
+    async def test():
+        async with stream_world() as world:
+            box = world.boxes[0]
+            assert (await call(box, "/lend/", "a", method="POST", body=b"x")).status == 200
+            world.workers[0].replace()
+            answer = await call(box, "/lend/", "b", method="POST", body=b"x")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert world.ran == ["a"]
+
+    run(test)
+
+
+def test_a_caller_that_leaves_ends_the_target_s_work():
+    async def test():
+        async with stream_world() as world:
+            worker = world.workers[0]
+            worker.hold = asyncio.Event()
+            _, writer = await connect(world.boxes[0])
+            writer.write(head("/read/", "gone"))
+            await until(lambda: world.ran == ["gone"])
+            writer.close()
+            await until(lambda: worker.dropped == 1)
+            assert world.boxes[0].forwarder.in_flight == 0
+
+    run(test)
+
+
+def test_a_request_past_its_time_is_answered_504_and_dropped_at_the_target():
+    async def test():
+        async with stream_world() as world:
+            worker = world.workers[0]
+            worker.hold = asyncio.Event()
+            answer = await call(world.boxes[0], "/read/", "late", deadline_ms=150)
+            assert answer.status == 504
+            await until(lambda: worker.dropped == 1)
+
+    run(test)
+
+
+def test_full_targets_lead_to_a_quick_refusal_that_tells_when_to_come_back():
+    async def test():
+        async with stream_world(workers=0) as world:
+            worker = await world.add_worker(WorkerSettings(slots=1, queue=1, hangs_when_full=True))
+            box = world.boxes[0]
+            await until(lambda: box.instances.of("loans"))
+            worker.hold = asyncio.Event()
+            held = [asyncio.create_task(call(box, "/read/", f"h{n}")) for n in range(2)]
+            await until(lambda: worker.arrived == 2)
+            answer = await call(box, "/read/", "more")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert worker.arrived == 2
+            worker.hold.set()
+            assert {a.status for a in await asyncio.gather(*held)} == {200}
+
+    run(test)
+
+
+def test_new_settings_and_leaving_targets_are_in_force_without_a_restart():
+    async def test():
+        async with stream_world() as world:
+            box = world.boxes[0]
+            other = await world.add_worker(service="other")
+            world.store.put("op", "config", document(4, services=("other", "loans")))
+            await until(lambda: box.routes.table.version == 4)
+            await until(lambda: box.instances.of("other"))
+            assert (await call(box, "/read/", "moved")).status == 200
+            assert [r.request_id for r in other.ran] == ["moved"]
+            world.store.put(
+                "servers", other.instance, other.row("other", zone="hall-a", state="draining")
+            )
+            await until(lambda: not box.instances.of("other"))
+            assert (await call(box, "/read/", "none")).status == 503
+            # An older word than the one that said so does not bring it back.
+            world.store.put("servers", other.instance, other.row("other", zone="hall-a"))
+            world.store.put("servers", "i-new", other.row("loans", zone="hall-a", sequence=9))
+            await until(lambda: box.instances.find("i-new"))
+            assert not box.instances.of("other")
+
+    run(test)
+
+
+def test_a_document_that_does_not_parse_leaves_the_last_good_one_in_force(caplog):
+    async def test():
+        async with stream_world() as world:
+            box = world.boxes[0]
+            world.store.put("op", "config", b'{"version":"r5","routes":"cut')
+            bad = document(6)
+            bad["routes"][0]["timeout"] = "soon"
+            world.store.put("op", "config", bad)
+            world.store.put("op", "config", document(7))
+            await until(lambda: box.routes.table.version == 7)
+            assert (await call(box, "/read/", "x")).status == 200
+
+    with caplog.at_level("INFO"):
+        run(test)
+    details = [r.fields["detail"] for r in caplog.records if r.message == "settings-unreadable"]
+    assert any("routes.0.timeout = 'soon'" in detail for detail in details)
+
+
+def test_few_boxes_read_the_store_and_the_others_learn_from_them():
+    async def test():
+        async with stream_world(boxes=3) as world:
+            world.store.put("op", "config", document(2))
+            await until(lambda: all(b.routes.table.version == 2 for b in world.boxes))
+            readers = [box for box in world.boxes if box.mesh.is_reader()]
+            assert len(readers) == 1
+
+    run(test)
+
+
+def test_a_box_that_the_store_turns_away_learns_from_its_peers():
+    async def test():
+        async with stream_world(boxes=2) as world:
+            reader = next(box for box in world.boxes if box.mesh.is_reader())
+            # Both boxes have one IP number here, so the first reader's calls are made to fail.
+            failing = world.store.faults
+            failing.fault = StoreFault.BUSY
+            await until(lambda: not reader.mesh.reading)
+            assert (await call(world.boxes[0], "/read/", "meanwhile")).status == 200
+            failing.fault = StoreFault.NONE
+            world.store.put("op", "config", document(3))
+            await until(lambda: all(b.routes.table.version == 3 for b in world.boxes))
+
+    run(test)
+
+
+def test_forgotten_history_is_read_anew():
+    async def test():
+        async with stream_world() as world:
+            box = world.boxes[0]
+            world.store.put("op", "config", document(2))
+            world.store.remove("servers", world.workers[0].instance)
+            world.store.forget_history()
+            await until(lambda: box.routes.table.version == 2)
+            await until(lambda: not box.instances.of("loans"))
+
+    run(test)
+
+
+def test_a_planned_stop_cuts_nothing_and_refuses_late_comers():
+    async def test():
+        async with stream_world(boxes=2) as world:
+            leaving, other = world.boxes
+            worker = world.workers[0]
+            worker.hold = asyncio.Event()
+            held = asyncio.create_task(call(leaving, "/lend/", "held", method="POST", body=b"x"))
+            await until(lambda: world.ran == ["held"])
+            kept_reader, kept_writer = await connect(leaving)
+            leaving.ask_to_stop()
+            await until(lambda: leaving.caller not in other.mesh.offered("hall-a"))
+            assert not leaving.ready
+            await until(lambda: leaving.refusing)
+            kept_writer.write(head("/read/", "late"))
+            late = await read_answer(kept_reader)
+            assert (late.status, late.headers["connection"]) == (503, "close")
+            assert "retry-after" in late.headers
+            worker.hold.set()
+            answer = await held
+            assert answer.status == 200
+            await world.tasks[0]
+            assert world.ran == ["held"]
+
+    run(test)
