--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -189,6 +189,11 @@
             found = self._repeats[service] = self._make_repeats()
         return found
 
+    def change_repeats(self, *, ratio: float, slack: float, window: Seconds) -> None:
+        """Change the budget of repeats; what was spent still counts."""
+        for share in self._repeats.values():
+            share.ratio, share.slack, share.window = ratio, slack, window
+
     def set_boxes(self, boxes: int) -> None:
         """Set by how many boxes the budgets of the system are shared."""
         self._probes.boxes = boxes
@@ -373,7 +378,8 @@
                 self._log_belief("target-replaced", instance)
             detail = f"the target refused with status {end.status}"
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
-        self._chooser.failed(instance, now)
+        if end.reason is not Reason.BODY_BROKEN:
+            self._chooser.failed(instance, now)
         return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
 
     @staticmethod
--- a/dunlinnotch/coordination/shares.py
+++ b/dunlinnotch/coordination/shares.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -14,8 +15,8 @@
 
 #: Part of a budget that is used; the rest covers boxes that restart and forget.
 _USED = 0.85
-#: Length of one step of a sliding window, as a part of the window.
-_STEPS = 20
+#: Requests and repeats are counted in steps of so many seconds.
+_STEP_S = 0.5
 
 
 class ProbeShare:
@@ -105,7 +106,7 @@
         return True
 
     def _now(self) -> int:
-        return int(self._clock() * _STEPS / self.window)
+        return int(self._clock() / _STEP_S)
 
     def _add(self, requests: int, repeats: int) -> None:
         now = self._now()
@@ -117,6 +118,6 @@
         self._forget()
 
     def _forget(self) -> None:
-        oldest = self._now() - _STEPS
+        oldest = self._now() - math.ceil(self.window / _STEP_S)
         while self._steps and self._steps[0][0] < oldest:
             self._steps.popleft()
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -7,7 +7,7 @@
 import logging
 import signal
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
@@ -210,6 +210,26 @@
         await self._stop_asked.wait()
         await self._stop()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Take over changed settings; addresses, name and place need a restart.
+
+        Parameters
+        ----------
+        settings : EntrySettings
+        """
+        kept = ("name", "place", "caller", "peer")
+        moved = [n for n in kept if getattr(settings, n) != getattr(self._settings, n)]
+        if moved:
+            event(_log, "reload-needs-restart", level=logging.WARNING, fields=moved)
+        self._settings = replace(settings, **{n: getattr(self._settings, n) for n in kept})
+        self.probes.per_s = settings.probes_per_s
+        self.forwarder.change_repeats(
+            ratio=settings.repeat_ratio,
+            slack=settings.repeat_slack,
+            window=settings.repeat_window,
+        )
+        event(_log, "reloaded", box=self.mesh.name, seeds=list(settings.seeds))
+
     def ask_to_stop(self) -> None:
         """Begin a planned stop."""
         self._stop_asked.set()
--- a/dunlinnotch/platform/__main__.py
+++ b/dunlinnotch/platform/__main__.py
@@ -19,6 +19,7 @@
 from dunlinnotch.platform.dialect import WorkerDialect, read_request  # noqa: E402
 from dunlinnotch.platform.doors import Doors  # noqa: E402
 from dunlinnotch.platform.store import PlatformStore  # noqa: E402
+from dunlinnotch.platform.watch import SettingsWatch  # noqa: E402
 from dunlinnotch.transport.stream.server import StreamServer  # noqa: E402
 
 _BAD_SETTINGS = 2
@@ -36,11 +37,13 @@
     except ConfigError as error:
         sys.stderr.write(f"{error.code}: {error}\n")
         return _BAD_SETTINGS
-    asyncio.run(_run(settings, doors, stream))
+    asyncio.run(_run(settings, doors, stream, path))
     return 0
 
 
-async def _run(settings: EntrySettings, doors: settings_file.Doors, stream: BoundedStream) -> None:
+async def _run(
+    settings: EntrySettings, doors: settings_file.Doors, stream: BoundedStream, path: Path
+) -> None:
     store = PlatformStore(doors.store)
     adapter = Adapter(
         source=store,
@@ -60,11 +63,17 @@
         (doors.readiness, answers.readiness),
         (doors.directory, answers.directory),
         (doors.control, answers.control),
+        (doors.figures, answers.control),
     ):
         server = StreamServer(handler)
         await server.listen(address)
         box.add_server(server)
-    await run_until_stopped(box)
+    watch = SettingsWatch(path, box.reload)
+    watching = asyncio.create_task(watch.run())
+    try:
+        await run_until_stopped(box)
+    finally:
+        watching.cancel()
 
 
 if __name__ == "__main__":
--- a/dunlinnotch/platform/settings_file.py
+++ b/dunlinnotch/platform/settings_file.py
@@ -16,6 +16,9 @@
 #: Names the settings file in the environment.
 VARIABLE = "DUNLINNOTCH_NODE_FILE"
 
+#: Where each box tells its figures; ``deploy/system.toml`` names it too.
+FIGURES_PORT = 9464
+
 _ADDRESS = re.compile(r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")
 _PORTS = re.compile(r"^\d{1,5},\d{1,5}$")
 
@@ -112,6 +115,7 @@
         self.readiness = file.address("network.bind.readiness")
         self.directory = file.address("network.bind.directory")
         self.control = file.address("network.bind.control")
+        self.figures = f"{file.text('self.ip')}:{FIGURES_PORT}"
         self.store = file.address("platform.platform.address")
         self.longest_ttl = file.time("terms.bounds.ttl_max", 5.0)
 
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -37,6 +37,10 @@
 _HEADERS_MAX = 200
 
 
+class _CallerBodyError(Exception):
+    """The caller's body broke off while it was being sent on."""
+
+
 class LinkBrokenError(Exception):
     """A connection ended, or what came on it is no answer."""
 
@@ -559,9 +563,9 @@
                 link.write(head)
                 sender = asyncio.create_task(_send_body(link, body, chunked=length is None))
             ended = await self._await_answer(pool, link, request, sender)
-        except LinkBrokenError as error:
-            ended = Broken(Reason.TARGET_BROKEN, str(error))
-        except BodyCutError as error:
+        except _CallerBodyError as error:
+            ended = Broken(Reason.BODY_BROKEN, str(error))
+        except (LinkBrokenError, BodyCutError) as error:
             ended = Broken(Reason.TARGET_BROKEN, str(error))
         finally:
             if not isinstance(ended, Answered):
@@ -607,12 +611,21 @@
         try:
             await asyncio.wait({answer, sender}, return_when=asyncio.FIRST_COMPLETED)
             if not answer.done() and sender.done():
-                sender.result()
+                _check_sent(sender)
             return await answer
         finally:
             answer.cancel()
 
 
+def _check_sent(sender: asyncio.Task[None]) -> None:
+    """Raise if the body could not be sent because the caller's own was not whole."""
+    error = sender.exception()
+    if isinstance(error, BodyCutError):
+        raise _CallerBodyError(str(error)) from None
+    if error is not None:
+        raise error
+
+
 async def _send_body(link: TargetLink, body: RelayBody, *, chunked: bool) -> None:
     async for part in body.parts():
         if link.closed:
--- /dev/null
+++ b/tests/test_fresh.py
@@ -0,0 +1,73 @@
+"""A target without a fresh report never looks good, and full or slow ones wait their turn."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dunlinnotch.coordination.fresh import GOOD, FreshChooser, excess, expected_time
+from dunlinnotch.state.instances import Instance, ListedTarget, TargetReport
+
+NOW = 50.0
+
+
+def target(name="i", *, place="hall-a", report=None, age=0.0):
+    instance = Instance(ListedTarget(name, "s", place, "10.0.0.1:80", 6, False, 1, 0.0))
+    if report is not None:
+        instance.heard(TargetReport(*report), NOW - age)
+    return instance
+
+
+@pytest.mark.parametrize(
+    ("report", "age", "good"),
+    [
+        ((0, 0, 6, 1.0), 0.0, True),
+        ((3, 0, 6, 1.0), 0.1, True),
+        ((6, 0, 6, 1.0), 0.0, False),
+        ((0, 0, 6, 7.0), 0.0, False),
+        ((0, 0, 6, 1.0), 0.5, False),
+        (None, 0.0, False),
+    ],
+)
+def test_only_a_free_target_of_usual_speed_by_a_fresh_report_is_good(report, age, good):
+    assert (expected_time(target(report=report, age=age), NOW) <= GOOD) is good
+
+
+def test_own_requests_sent_since_the_report_count():
+    instance = target(report=(2, 0, 3, 1.0))
+    before = expected_time(instance, NOW)
+    instance.sent_since_report = 2
+    assert expected_time(instance, NOW) > before
+    assert excess(instance) == pytest.approx(2 / 3)
+
+
+def test_a_target_that_says_it_is_ill_is_used_only_if_no_other_is_better():
+    ill = target(report=(0, 0, 6, 1.0))
+    ill.well = False
+    assert expected_time(ill, NOW) > GOOD
+    assert expected_time(ill, NOW) < expected_time(target(report=(0, 0, 6, 7.0)), NOW)
+
+
+def test_order_is_own_place_then_others_then_slow_then_aside():
+    chooser = FreshChooser(place="hall-a", rng=random.Random(1))
+    near, far = target("near"), target("far", place="hall-b")
+    slow = target("slow", report=(0, 0, 6, 7.0))
+    aside = target("aside")
+    for _ in range(3):
+        chooser.failed(aside, NOW)
+    order = chooser.order([aside, slow, far, near], NOW, exclude=())
+    assert [i.name for i in order] == ["near", "far", "slow", "aside"]
+    assert [i.name for i in chooser.order([near, far], NOW, exclude={"near"})] == ["far"]
+
+
+def test_failures_set_aside_for_a_while_and_an_answer_ends_it():
+    chooser = FreshChooser(place="hall-a", rng=random.Random(1))
+    instance = target(report=(0, 0, 6, 1.0))
+    chooser.failed(instance, NOW)
+    assert chooser.good(instance, NOW)
+    chooser.failed(instance, NOW)
+    assert not chooser.good(instance, NOW)
+    assert instance.aside_until <= NOW + 4.0
+    chooser.did_well(instance)
+    assert chooser.good(instance, NOW)
