--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,142 @@
+"""Who reads the store, how fresh a box's knowledge is, and which boxes are offered."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from dunlinnotch.coordination.mesh import DRAINING, RUNNING, STALE_S, SUSPECT_S, Mesh
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.protocol.mesh import pack_delta, pack_word, unpack_delta, unpack_word
+from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def box(name, clock, *, place="hall-a", incarnation=1, version=5):
+    table = FollowedTable("t", lambda _: None)
+    if version:
+        row = TableRow("k", version, b"v")
+        table.take(TableDelta("t", version, True, (row,)), at=clock.now)
+    mesh = Mesh(
+        name=name,
+        place=place,
+        incarnation=incarnation,
+        caller=f"{name}:1",
+        peer=f"{name}:2",
+        tables=[table],
+        clock=clock,
+    )
+    mesh.state = RUNNING
+    return mesh, table
+
+
+def test_words_survive_the_datagram():
+    mesh, _ = box("a", Clock())
+    word = mesh.own_word(wants_word=True)
+    assert unpack_word(pack_word(word)) == word
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x01", pack_word.__doc__.encode()]
+)
+def test_noise_is_no_word(data):
+    with pytest.raises(ProtocolError):
+        unpack_word(data)
+
+
+def test_deltas_survive_the_stream():
+    delta = TableDelta("t", 9, False, (TableRow("a", 8, b"x"), TableRow("b", 9, None)))
+    assert unpack_delta(pack_delta(delta, age_ms=5)) == (delta, 5)
+    with pytest.raises(ProtocolError):
+        unpack_delta({"t": "t"})
+
+
+def test_one_box_of_each_place_reads_and_another_takes_over():
+    clock = Clock()
+    boxes = [box(name, clock) for name in "abc"] + [box("d", clock, place="hall-b")]
+    meshes = [mesh for mesh, _ in boxes]
+
+    def tell():
+        for mesh in meshes:
+            for other in meshes:
+                other.take(mesh.own_word())
+
+    tell()
+    first = [mesh for mesh in meshes if mesh.is_reader()]
+    assert sorted(mesh.place for mesh in first) == ["hall-a", "hall-b"]
+    lead = [mesh for mesh in meshes if mesh.is_lead()]
+    assert [mesh.name for mesh in lead] == ["a"]
+    near = next(mesh for mesh in first if mesh.place == "hall-a")
+    near.reading = False
+    tell()
+    second = [mesh for mesh in meshes if mesh.is_reader()]
+    assert sorted(mesh.place for mesh in second) == ["hall-a", "hall-b"]
+    assert near not in second
+
+
+def test_a_box_that_nobody_tells_anything_new_reads_for_itself():
+    clock = Clock()
+    (first, _), (second, _) = box("a", clock), box("b", clock)
+    first.take(second.own_word())
+    second.take(first.own_word())
+    idle = first if not first.is_reader() else second
+    clock.now += SUSPECT_S / 2
+    assert not idle.is_reader()
+    clock.now += STALE_S
+    assert idle.stale()
+    assert idle.is_reader()
+
+
+def test_a_peer_s_word_makes_knowledge_fresh_only_where_it_is_as_new():
+    clock = Clock()
+    (teller, told), (mesh, table) = box("a", clock, version=5), box("b", clock, version=4)
+    clock.now += 1.0
+    told.verify(clock.now)
+    mesh.take(teller.own_word())
+    assert mesh.age(table) == pytest.approx(1.0)
+    assert mesh.newer(teller.own_word()) == ["t"]
+    table.take(told.since(4), at=clock.now - 0.5)
+    mesh.take(teller.own_word())
+    assert mesh.age(table) == pytest.approx(0.0, abs=0.002)
+    assert mesh.newer(teller.own_word()) == []
+
+
+def test_a_restarted_box_does_not_listen_to_its_older_words():
+    clock = Clock()
+    (old, _), (new, _), (mesh, _) = box("a", clock), box("a", clock, incarnation=2), box("b", clock)
+    late = old.own_word()
+    assert mesh.take(new.own_word())
+    assert not mesh.take(late)
+    assert not mesh.take(replace(mesh.own_word(), incarnation=9))
+
+
+def test_silent_and_draining_boxes_are_not_offered_and_the_own_place_goes_first():
+    clock = Clock()
+    mesh, _ = box("a", clock)
+    near, _ = box("b", clock)
+    far, _ = box("c", clock, place="hall-b")
+    for other in (near, far):
+        mesh.take(other.own_word())
+    assert sorted(mesh.offered("hall-a")) == ["a:1", "b:1"]
+    # One box alone would be all that callers of the place know.
+    assert sorted(mesh.offered("hall-b")) == ["a:1", "b:1", "c:1"]
+    near.state = DRAINING
+    mesh.take(near.own_word())
+    assert sorted(mesh.offered("hall-a")) == ["a:1", "c:1"]
+    clock.now += SUSPECT_S + 0.1
+    far.own_word()
+    assert sorted(mesh.offered("hall-a")) == ["a:1", "c:1"]  # nobody else: the last known
+    mesh.take(near.own_word())
+    near.state = RUNNING
+    mesh.take(near.own_word())
+    assert sorted(mesh.offered("hall-a")) == ["a:1", "b:1"]
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,334 @@
+"""The adapter: settings file, documents, headers, and what it relies on of the users' pages."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import signal
+from pathlib import Path
+
+import pytest
+
+import dunlinnotch
+from dunlinnotch.errors import ConfigError, PlatformUnavailableError, SettingsError
+from dunlinnotch.platform import documents, settings_file, units
+from dunlinnotch.platform.dialect import WorkerDialect
+from dunlinnotch.platform.store import PlatformStore
+from dunlinnotch.platform.watch import SettingsWatch
+from dunlinnotch.protocol.relay import CallerRequest, Verdict
+from dunlinnotch.protocol.store import HistoryGone
+from dunlinnotch.standins.users.store import StoreFault, StoreStandin
+from dunlinnotch.state.heads import AnswerHead, Header
+from tests.stream_world import document, until
+
+NODE = """
+self.node-name=front-1
+self.ip=10.1.0.35
+self.zone=hall-a
+network.bind.front=10.1.0.35:8144
+network.bind.readiness=10.1.0.35:8140
+network.bind.control=10.1.0.35:8146
+network.bind.directory=10.1.0.35:8143
+network.internal-port-range=7660,7675
+network.seeds=10.1.0.35:8146,10.2.0.28:8146
+platform.platform.address=10.200.1.7:8142
+terms.bounds.grace=6s
+terms.bounds.budget-window=1500ms
+terms.bounds.probes-per-s=60
+later.field=unknown
+"""
+
+
+# -- settings file
+
+
+def test_settings_file_gives_what_the_product_needs():
+    settings = settings_file.entry_settings(settings_file.NodeFile(NODE))
+    assert (settings.name, settings.place) == ("front-1", "hall-a")
+    assert settings.peer == "10.1.0.35:7660"
+    assert settings.seeds == ("10.1.0.35:7660", "10.2.0.28:7660")
+    assert (settings.grace, settings.repeat_window) == (6.0, 1.5)
+    assert settings.repeat_slack == 64.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("self.zone=hall-a", "self.zone=", "self.zone = ''"),
+        ("front=10.1.0.35:8144", "front=box:8144", "network.bind.front = 'box:8144'"),
+        ("front=10.1.0.35:8144", "front=10.1.0.35:99999", "IP number with a port"),
+        ("range=7660,7675", "range=7675,7660", "two ports, the lower first"),
+        ("grace=6s", "grace=soon", "a time such as 1500ms"),
+        ("probes-per-s=60", "probes-per-s=-1", "a number of 0 or more"),
+        ("probes-per-s=60", "probes-per-s=inf", "a number of 0 or more"),
+        ("later.field=unknown", "no equals sign", "lines of the form a.b=value"),
+    ],
+)
+def test_a_bad_field_is_named_with_its_value_and_what_is_allowed(old, new, said):
+    text = NODE.replace(old, new)
+    assert text != NODE
+    with pytest.raises(ConfigError, match=re.escape(said)):
+        settings_file.entry_settings(settings_file.NodeFile(text))
+
+
+def test_an_unreadable_settings_file_is_said(tmp_path):
+    with pytest.raises(ConfigError, match="nowhere"):
+        settings_file.read_file(tmp_path / "nowhere")
+
+
+def test_a_changed_file_is_taken_over_and_a_bad_one_is_not(tmp_path):
+    async def test():
+        path = tmp_path / "local.conf"
+        path.write_text(NODE)
+        seen = []
+        watch = SettingsWatch(path, seen.append, look_s=3600.0)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(0)
+        path.write_text(NODE.replace("grace=6s", "grace=never"))
+        signal.raise_signal(signal.SIGHUP)
+        path.write_text(NODE.replace("grace=6s", "grace=7s"))
+        signal.raise_signal(signal.SIGHUP)
+        await until(lambda: seen)
+        assert [settings.grace for settings in seen] == [7.0]
+        task.cancel()
+
+    asyncio.run(test())
+
+
+# -- units and documents
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)])
+def test_times(text, seconds):
+    assert units.seconds(text, "t") == seconds
+
+
+@pytest.mark.parametrize("text", ["", "5", "ms", "-1s", "1 s", "1e3ms", 5, None])
+def test_bad_times_are_named(text):
+    with pytest.raises(SettingsError, match="allowed is a number with its unit"):
+        units.seconds(text, "t")
+
+
+def test_a_document_becomes_a_route_table():
+    table = documents.read_document(json.dumps(document(7)).encode())
+    assert table.version == 7
+    assert [(k.name, k.repeatable, k.upload) for k in table.kinds] == [
+        ("read", True, False),
+        ("lend", False, False),
+        ("load", False, True),
+    ]
+    assert table.kinds[0].timeout == 5.0
+    assert table.services["loans"].probe_path == "/health"
+    assert table.limits.idle_s == 15.0
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"version": "7"}, "version = '7'"),
+        ({"routes": None}, "routes = None"),
+        ({"routes": [5]}, "routes.0 = 5"),
+        ({"routes": [{"route-type": "maybe"}]}, "routes.0.route-type = 'maybe'; allowed: safe"),
+        ({"services": [{}]}, "services.0.name"),
+        ({"services": []}, "service = 'loans'; known: \\[\\]"),
+        ({"limits": {"idle-timeout": 3}}, "limits.idle-timeout = 3"),
+    ],
+)
+def test_a_bad_document_is_refused_by_its_first_bad_field(change, said):
+    plain = {**document(7), **change}
+    with pytest.raises(SettingsError, match=said):
+        documents.read_document(json.dumps(plain).encode())
+
+
+@pytest.mark.parametrize("weight", [-1, "9", True, None])
+def test_a_split_s_weight_is_checked(weight):
+    split = [{"service": "loans", "weight": weight}]
+    plain = document(7, **{"traffic-split": split})
+    with pytest.raises(SettingsError, match=r"traffic-split.0.weight"):
+        documents.read_document(json.dumps(plain).encode())
+
+
+def test_a_worker_s_row_becomes_a_listed_target():
+    row = {
+        "address": "10.128.0.9:8080",
+        "info": {"service": "s", "version": "v1", "zone": "ikeja", "capacity": 3},
+        "status": {"state": "draining", "sequence": 4, "warmup-left": "1500ms"},
+    }
+    listed = documents.read_worker("i-1", json.dumps(row).encode())
+    assert (listed.instance, listed.service, listed.place) == ("i-1", "s", "ikeja")
+    assert (listed.slots, listed.leaving, listed.sequence, listed.cold_s) == (3, True, 4, 1.5)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"info":{},"status":{"state":"away"}}'])
+def test_a_bad_row_is_refused(data):
+    with pytest.raises(SettingsError, match="i-1"):
+        documents.read_worker("i-1", data)
+
+
+# -- headers
+
+
+REQUEST = CallerRequest(
+    "id-1",
+    "GET",
+    "/",
+    "h",
+    (
+        Header("Host", "h"),
+        Header("Attempt-Id", "id-1"),
+        Header("Deadline-Ms", "5000"),
+        Header("Expect-Instance", "forged"),
+        Header("Connection", "keep-alive, X-Hop"),
+        Header("X-Hop", "1"),
+        Header("X-Own", "kept"),
+    ),
+    0.0,
+    5.0,
+)
+
+
+def test_a_request_is_passed_on_with_what_is_left_and_the_target_that_is_meant():
+    headers = WorkerDialect().request_headers(REQUEST, left=1.25, instance="i-1")
+    assert headers == [
+        Header("Host", "h"),
+        Header("Attempt-Id", "id-1"),
+        Header("X-Own", "kept"),
+        Header("Deadline-Ms", "1250"),
+        Header("Expect-Instance", "i-1"),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, {"Attempt-Id": "id-1", "Response-Seal": "s"}, Verdict.OURS),
+        (500, {"Attempt-Id": "id-1", "Response-Seal": "s"}, Verdict.OURS),
+        (404, {"Attempt-Id": "id-1"}, Verdict.OURS),
+        (200, {"Attempt-Id": "id-2", "Response-Seal": "s"}, Verdict.FOREIGN),
+        (503, {"Attempt-Id": "id-2", "Not-Executed": "1"}, Verdict.FOREIGN),
+        (200, {"Instance-Id": "i-1"}, Verdict.FOREIGN),
+        (503, {"Not-Executed": "1"}, Verdict.NOT_RUN),
+        (429, {"Attempt-Id": "id-1", "Not-Executed": "1"}, Verdict.NOT_RUN),
+        (421, {"Instance-Id": "i-2"}, Verdict.ELSEWHERE),
+        (200, {"Attempt-Id": "id-1"}, Verdict.UNUSABLE),
+        (200, {"Response-Seal": "s"}, Verdict.UNUSABLE),
+        (503, {"Attempt-Id": "id-1"}, Verdict.UNUSABLE),
+        (429, {"Attempt-Id": "id-1"}, Verdict.UNUSABLE),
+        (408, {"Attempt-Id": "id-1"}, Verdict.UNUSABLE),
+        (502, {}, Verdict.UNUSABLE),
+    ],
+)
+def test_answers_are_told_apart(status, headers, verdict):
+    head = AnswerHead(status, "", tuple(Header(*item) for item in headers.items()), 0)
+    assert WorkerDialect().judge(head, REQUEST) is verdict
+
+
+@pytest.mark.parametrize(
+    ("stated", "report"),
+    [
+        ("3,1,8", (3, 1, 8, 1.0)),
+        ("3, 1, 8, 700", (3, 1, 8, 7.0)),
+        ("3,1", None),
+        ("a,b,c", None),
+        ("-1,0,3", None),
+        (None, None),
+    ],
+)
+def test_load_is_read_or_left(stated, report):
+    headers = () if stated is None else (Header("Instance-Load", stated),)
+    found = WorkerDialect().report(AnswerHead(200, "", headers, 0))
+    if report is None:
+        assert found is None
+    else:
+        assert (found.running, found.waiting, found.slots, found.slowness) == report
+
+
+# -- the store
+
+
+def test_a_table_is_read_page_by_page_and_followed(monkeypatch):
+    monkeypatch.setattr("dunlinnotch.platform.store._PAGE", 2)
+
+    async def test():
+        standin = StoreStandin()
+        store = PlatformStore(await standin.start())
+        for number in range(5):
+            standin.put("t", f"k{number}", {"n": number})
+        whole = await store.read_table("t")
+        assert [row.key for row in whole.rows] == [f"k{n}" for n in range(5)]
+        assert whole.whole
+        feed = asyncio.create_task(store.changes("t", 5, 5.0))
+        standin.put("other", "x", 1)
+        standin.remove("t", "k1")
+        changes = await feed
+        assert [(row.key, row.value) for row in changes.rows] == [("k1", None)]
+        assert changes.version == 7
+        unchanged = await store.changes("t", 7, 0.01)
+        assert unchanged.rows == ()
+        standin.forget_history()
+        assert isinstance(await store.changes("t", 5, 1.0), HistoryGone)
+        await standin.close()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.MANY, StoreFault.RESET])
+def test_a_store_that_fails_is_unavailable(fault):
+    async def test():
+        standin = StoreStandin()
+        store = PlatformStore(await standin.start())
+        standin.faults.fault = fault
+        with pytest.raises(PlatformUnavailableError):
+            await store.read_table("t")
+        standin.faults.fault = StoreFault.NONE
+        assert (await store.read_table("t")).rows == ()
+        await standin.close()
+
+    asyncio.run(test())
+
+
+def test_a_store_that_says_nothing_is_unavailable_in_time(monkeypatch):
+    monkeypatch.setattr("dunlinnotch.platform.store._ANSWER_S", 0.05)
+
+    async def test():
+        standin = StoreStandin()
+        store = PlatformStore(await standin.start())
+        standin.faults.fault = StoreFault.SILENT
+        with pytest.raises(PlatformUnavailableError, match="no answer within"):
+            await store.read_table("t")
+        assert store.failures == 1
+        await standin.close()
+
+    asyncio.run(test())
+
+
+# -- the border of the adapter
+
+NAMES = (
+    "Attempt-Id",
+    'Deadline-Ms"',
+    "Response-Seal",
+    "Expect-Instance",
+    "Instance-Load",
+    "Not-Executed",
+    "Instance-Id",
+    "/api/",
+    "traffic-split",
+    "route-type",
+    "path-prefix",
+    'target-latency"',
+    "warmup-left",
+    "tls-key",
+    "DUNLINNOTCH_NODE_FILE",
+)
+
+
+def test_nothing_outside_the_adapter_holds_the_platform_s_names():
+    root = Path(dunlinnotch.__file__).parent
+    own = (root / "platform", root / "standins" / "users")
+    for path in root.rglob("*.py"):
+        if any(path.is_relative_to(folder) for folder in own):
+            continue
+        text = path.read_text(encoding="utf-8").replace("Dunlinnotch-Deadline-Ms", "")
+        assert [name for name in NAMES if name in text] == [], path
