--- a/dunlinnotch/coordination/beliefs.py
+++ b/dunlinnotch/coordination/beliefs.py
@@ -22,8 +22,9 @@
 
 #: A share of a service's targets that vanishes at once is more likely the list's fault.
 _MANY = 0.34
-#: A target that vanished while the store was in trouble is kept for so long, in seconds.
-LAPSE_S = 6.0
+#: Targets of which many vanished at once are kept as a last resort for so long, in
+#: seconds: they write their rows again within a heartbeat or two.
+LAPSE_S = 4.0
 
 _log = logging.getLogger(__name__)
 
@@ -89,9 +90,11 @@
         Reads one row; raises :class:`~dunlinnotch.errors.SettingsError`.
     instances : InstanceList
     clock : callable
-    troubled : callable
-        Returns whether the store was in trouble lately, so that rows may have
-        lapsed whose targets are well.
+
+    Notes
+    -----
+    A row that vanishes alone stands for a target that has left, whatever the
+    store has gone through: trouble at the store is no reason to keep it.
     """
 
     def __init__(
@@ -100,12 +103,10 @@
         instances: InstanceList,
         *,
         clock: Clock,
-        troubled: Callable[[], bool],
     ) -> None:
         self._parse = parse
         self._instances = instances
         self._clock = clock
-        self._troubled = troubled
 
     def take(self, rows: list[TableRow]) -> None:
         """Take in changed rows."""
@@ -142,7 +143,7 @@
             )
 
     def _take_gone(self, keys: list[str]) -> None:
-        lapse = self._troubled() or self._many(keys)
+        lapse = self._many(keys)
         now: Seconds = self._clock()
         for key in keys:
             instance = self._instances.find(key)
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -46,8 +46,6 @@
 _HEAR_FIRST_S = 0.35
 _FETCH_S = 1.0
 _LOOK_S = 0.05
-#: Trouble of the store is remembered for so long, in seconds.
-_TROUBLE_S = 6.0
 #: Connections that a target accepts are shared by at least so many boxes.
 _BOXES_LEAST = 6
 
@@ -146,9 +144,7 @@
         self.routes = RoutesInForce(
             adapter.read_settings, key=adapter.settings_key, on_change=self._on_routes
         )
-        self._listed = TargetsListed(
-            adapter.read_target, self.instances, clock=clock, troubled=self._troubled
-        )
+        self._listed = TargetsListed(adapter.read_target, self.instances, clock=clock)
         self._settings_rows = FollowedTable(adapter.settings_table, self.routes.take)
         self._target_rows = FollowedTable(adapter.targets_table, self._take_targets)
         self.tables = {t.name: t for t in (self._settings_rows, self._target_rows)}
@@ -188,7 +184,6 @@
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.refusing = False
-        self._trouble_at: Seconds = -1e9
         self._stop_asked = asyncio.Event()
 
     # -- running
@@ -359,17 +354,10 @@
         self._targets.keep_only(self.instances.addresses())
         self.probes.keep_only({instance.name for instance in self.instances.all()})
 
-    def _troubled(self) -> bool:
-        now = self._loop.time()
-        if not self.mesh.reading or any(not word.reading for word in self.mesh.live()):
-            self._trouble_at = now
-        return now - self._trouble_at < _TROUBLE_S
-
     # -- peers
 
     async def _send_words(self) -> None:
         while True:
-            self._troubled()
             self._send_word()
             await asyncio.sleep(WORD_S * (0.9 + 0.2 * self._rng.random()))
 
--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,54 @@
+"""What rows of the list of targets do to the targets that may get work."""
+
+from __future__ import annotations
+
+from dunlinnotch.coordination.beliefs import LAPSE_S, TargetsListed
+from dunlinnotch.state.followed import TableRow
+from dunlinnotch.state.instances import InstanceList, ListedTarget
+
+
+class Clock:
+    """A clock that the test moves."""
+
+    now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def read(key, value):
+    return ListedTarget(key, "s", "hall-a", f"10.0.0.{key}:80", 3, False, int(value), 0.0)
+
+
+def listed(count):
+    clock = Clock()
+    instances = InstanceList()
+    targets = TargetsListed(read, instances, clock=clock)
+    targets.take([TableRow(str(n), n, b"1") for n in range(1, count + 1)])
+    return clock, instances, targets
+
+
+def names(instances):
+    return sorted(i.name for i in instances.all())
+
+
+def test_one_row_that_vanishes_is_a_target_that_left():
+    """hunt-5fe2-7 and mix 801366767635 of ikenga-gate: DRAIN.
+
+    The store turned some boxes away; a target that left meanwhile was kept
+    for seconds as one whose row had lapsed.
+    """
+    _, instances, targets = listed(6)
+    targets.take([TableRow("3", 9, None)])
+    assert names(instances) == ["1", "2", "4", "5", "6"]
+
+
+def test_many_rows_that_vanish_at_once_are_kept_for_a_while_and_come_back():
+    clock, instances, targets = listed(6)
+    targets.take([TableRow(str(n), 9, None) for n in range(1, 6)])
+    assert len(names(instances)) == 6
+    assert [i.name for i in instances.all() if i.lapsed_at is None] == ["6"]
+    targets.take([TableRow("1", 10, b"2")])
+    clock.now += LAPSE_S + 0.1
+    targets.expire()
+    assert names(instances) == ["1", "6"]
