--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -40,13 +40,11 @@
 #: Part of the target latency for which a request waits for a good target.
 _WAIT_SHARE = 0.2
 #: Pause before full targets are asked again, in seconds.
-_PAUSE_S = 0.015
+_PAUSE_S = 0.01
 #: Longest wait for the answers of the targets asked at once, in seconds.
 _ASK_S = 0.04
 #: A probe without an answer for so long counts as a failure, in seconds.
 _ASK_LOST_S = 0.3
-#: Requests that may wait at a target, as a share of its slots, by rank.
-_WAIT_AT_TARGET = (1.0, 1.0, 0.67)
 #: When to come back, at least, in seconds.
 _COME_BACK_S = 0.05
 
@@ -148,6 +146,8 @@
         Makes the repeat budget of a service.
     targets : TargetPort
     observer : ForwardObserver
+    on_report : callable
+        Called with each target that has just told its load to this box.
     plan : AskPlan
     rng : random.Random
     """
@@ -163,6 +163,7 @@
         make_repeats: Callable[[], RepeatShare],
         targets: TargetPort,
         observer: ForwardObserver,
+        on_report: Callable[[Instance], None],
         plan: AskPlan,
         rng: random.Random,
     ) -> None:
@@ -174,6 +175,7 @@
         self._make_repeats = make_repeats
         self._targets = targets
         self._observer = observer
+        self._on_report = on_report
         self._plan = plan
         self._rng = rng
         self._loop = asyncio.get_running_loop()
@@ -350,7 +352,7 @@
                 left=left,
                 instance=instance.name,
                 asked=pick.asked,
-                fresh=not kind.repeatable and pick.asked is None,
+                once=not kind.repeatable,
             )
             trial.end = type(end).__name__
             return end
@@ -371,8 +373,7 @@
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
             run.may_have_run = self._ran_before(run)
-            if end.report is not None:
-                instance.heard(end.report, now)
+            self._heard(instance, end.report)
             if end.elsewhere:
                 self._instances.leave(instance.name)
                 self._log_belief("target-replaced", instance)
@@ -393,8 +394,7 @@
         """Pass an answer to the caller, to its last byte or not cleanly at all."""
         answer = answered.answer
         head = answer.head
-        if answered.report is not None:
-            instance.heard(answered.report, self._loop.time())
+        self._heard(instance, answered.report)
         failed = head.status >= 500
         try:
             whole = await answer.whole_within(_READ_FIRST)
@@ -435,12 +435,16 @@
         if run.sends:
             give_up = self._loop.time() + kind.target_latency * _WAIT_SHARE
         while True:
-            pick = await self._ask_round(run, service)
-            if pick is not None and self._may_wait_there(pick.instance, kind):
-                return pick
+            pick = self._known_good(run, service) or await self._ask_round(run, service)
+            now = self._loop.time()
+            last_chance = now + _PAUSE_S >= give_up
             if pick is not None:
+                if self._chooser.good(pick.instance, now):
+                    return pick
+                if last_chance and excess(pick.instance) <= 0:
+                    return pick
                 self._release(pick)
-            if self._loop.time() + _PAUSE_S >= give_up:
+            if last_chance:
                 return None
             await asyncio.sleep(_PAUSE_S * (0.7 + 0.6 * self._rng.random()))
             if self._look_up(run) is not None or run.kind is None:
@@ -448,10 +452,20 @@
             if run.kind.service_at(run.point) != service:
                 return await self._choose(run, run.kind, run.kind.service_at(run.point))
 
-    @staticmethod
-    def _may_wait_there(instance: Instance, kind: RequestKind) -> bool:
-        most = _WAIT_AT_TARGET[min(kind.rank, len(_WAIT_AT_TARGET) - 1)]
-        return excess(instance) <= most
+    def _known_good(self, run: _Run, service: str) -> _Pick | None:
+        """Return a target that is good by a report of the last milliseconds, if there is one."""
+        now = self._loop.time()
+        known = [
+            instance
+            for instance in self._instances.of(service)
+            if now - instance.reported_at < FRESH_S
+            and instance.name not in run.tried
+            and instance.lapsed_at is None
+            and self._chooser.good(instance, now)
+        ]
+        if not known:
+            return None
+        return _Pick(self._chooser.order(known, now, exclude=())[0], None, "fresh")
 
     async def _ask_round(self, run: _Run, service: str) -> _Pick | None:
         now = self._loop.time()
@@ -463,9 +477,6 @@
                 return None
         if not order:
             return None
-        for instance in order[: self._plan.first]:
-            if now - instance.reported_at < FRESH_S and self._chooser.good(instance, now):
-                return _Pick(instance, None, "fresh")
         answers: dict[Instance, Asked] = {}
         first, more = self._plan.first, self._plan.more
         try:
@@ -567,9 +578,15 @@
             if asked.report is None:
                 # It tells no load: what this box has there is all that is known.
                 asked.report = TargetReport(instance.own, 0, max(1, instance.listed.slots))
-            instance.heard(asked.report, now)
+            self._heard(instance, asked.report)
         heard.put_nowait((instance, asked))
 
+    def _heard(self, instance: Instance, report: TargetReport | None) -> None:
+        """Take in a report that this box has got itself."""
+        if report is not None:
+            instance.heard(report, self._loop.time())
+            self._on_report(instance)
+
     def _release(self, pick: _Pick) -> None:
         if pick.asked is not None:
             self._targets.release(pick.instance.address, pick.asked)
--- a/dunlinnotch/coordination/fresh.py
+++ b/dunlinnotch/coordination/fresh.py
@@ -18,9 +18,11 @@
     from dunlinnotch.types import Seconds
 
 #: A report this young is as good as a new one, in seconds.
-FRESH_S = 0.012
+FRESH_S = 0.02
 #: A report says something of a target's speed for about this long, in seconds.
 USEFUL_S = 0.3
+#: A target heard to be slow, or full, is asked after the others for so long, in seconds.
+_SLOW_S, _FULL_S = 0.2, 0.03
 #: Expected time, as a multiple of an idle target's, up to which a target is taken at once.
 GOOD = 1.35
 #: Failures in a row after which a target is set aside.
@@ -110,7 +112,10 @@
             return 5
         if instance.lapsed_at is not None:
             return 4
-        if now - instance.reported_at < USEFUL_S and expected_time(instance, now) > GOOD:
+        age = now - instance.reported_at
+        if instance.report is not None and age < _SLOW_S and instance.report.slowness > GOOD:
+            return 2 + away
+        if age < _FULL_S and expected_time(instance, now) > GOOD:
             return 2 + away
         return int(away)
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -17,6 +17,7 @@
 from dunlinnotch.coordination.fresh import FreshChooser
 from dunlinnotch.coordination.mesh import DRAINING, RUNNING, Mesh
 from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.sharing import SHARE_S, ReportSharing
 from dunlinnotch.daemon.figures import Figures
 from dunlinnotch.daemon.stop import StopPlan
 from dunlinnotch.errors import ProtocolError
@@ -164,6 +165,13 @@
         self.figures = Figures(self._gauges)
         self._targets = TargetClient(adapter.targets)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
+        self._sharing = ReportSharing(
+            self.instances,
+            self.mesh,
+            send=lambda reports, to: self._words.send_reports(reports, to),
+            clock=clock,
+            rng=rng,
+        )
         self.forwarder = Forwarder(
             routes=lambda: self.routes.table,
             age=lambda: self.mesh.age(self._settings_rows),
@@ -173,12 +181,13 @@
             make_repeats=self._make_repeats,
             targets=self._targets,
             observer=self.figures,
+            on_report=self._sharing.heard,
             plan=AskPlan(),
             rng=rng,
         )
         self.limits = ServerLimits()
         self._front = StreamServer(self._serve, limits=self.limits)
-        self._words = WordPort(self._take_word)
+        self._words = WordPort(self._take_word, self._sharing.take)
         self._table_port = TablePort(self._tell_table)
         self._servers: list[StreamServer] = []
         self._fetching: set[str] = set()
@@ -202,6 +211,7 @@
         for follower in self.followers:
             self._spawn(follower.run())
         self._spawn(self._look_after())
+        self._spawn(self._share_reports())
         await self._stop_asked.wait()
         await self._stop()
 
@@ -286,6 +296,11 @@
             self.forwarder.set_boxes(max(self.mesh.most_boxes, _BOXES_LEAST))
             await asyncio.sleep(_LOOK_S)
 
+    async def _share_reports(self) -> None:
+        while True:
+            self._sharing.flush()
+            await asyncio.sleep(SHARE_S)
+
     def _can_serve(self) -> bool:
         return self.routes.table is not None and all(t.known for t in self.tables.values())
 
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -189,7 +189,7 @@
         left: Seconds,
         instance: str,
         asked: Asked | None = None,
-        fresh: bool = False,
+        once: bool = False,
     ) -> AttemptEnd:
         """Send one request and wait for the head of its answer."""
 
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -89,10 +89,10 @@
         """Where it is reached."""
         return self.listed.address
 
-    def heard(self, report: TargetReport, now: Seconds) -> None:
-        """Take in what the target says of its load."""
+    def heard(self, report: TargetReport, at: Seconds) -> None:
+        """Take in what the target said of its load at a time."""
         self.report = report
-        self.reported_at = now
+        self.reported_at = at
         self.sent_since_report = 0
 
 
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -32,6 +32,8 @@
 CONNECT_S = 0.6
 #: An idle connection is used for at most this long, whatever the target allows.
 _IDLE_MOST_S = 8.0
+#: For what may run only once, a connection is used if it has rested for at most this long.
+_RESTED_ONCE_S = 1.0
 #: A connection is given up so long before its target would close it.
 _IDLE_MARGIN_S = 1.0
 _HEADERS_MAX = 200
@@ -121,6 +123,7 @@
         self.busy = True
         self.head_only = False
         self._keep_s = _IDLE_MOST_S
+        self._rested_at: Seconds = 0.0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._reading: Incoming | None = None
@@ -284,12 +287,13 @@
         if self.closed or self.spoiled or self._reading is not None or self._heads:
             return False
         self.busy = False
+        self._rested_at = now
         self.idle_until = now + self._keep_s
         return True
 
-    def take(self, now: Seconds) -> bool:
+    def take(self, now: Seconds, *, rested_most: Seconds) -> bool:
         """Become busy again; return False if the connection has rested too long."""
-        if self.closed or now >= self.idle_until:
+        if self.closed or now >= self.idle_until or now - self._rested_at > rested_most:
             return False
         self.busy = True
         self.used += 1
@@ -314,19 +318,20 @@
         self._idle: list[TargetLink] = []
         self._loop = asyncio.get_running_loop()
 
-    def take_idle(self) -> TargetLink | None:
-        """Return an idle connection, the last used first."""
+    async def take(self, *, rested_most: Seconds = _IDLE_MOST_S) -> TargetLink | NotSent:
+        """Return an idle connection, the last used first, or open one.
+
+        Parameters
+        ----------
+        rested_most : float, optional
+            Seconds that the connection may have been idle.
+        """
         while self._idle:
             link = self._idle.pop()
-            if link.take(self._loop.time()):
+            if link.take(self._loop.time(), rested_most=rested_most):
                 return link
             self._drop(link)
-        return None
-
-    async def take(self) -> TargetLink | NotSent:
-        """Return an idle connection, or open one."""
-        link = self.take_idle()
-        return link if link is not None else await self.connect()
+        return await self.connect()
 
     async def connect(self) -> TargetLink | NotSent:
         """Open a connection."""
@@ -518,7 +523,7 @@
         left: Seconds,
         instance: str,
         asked: Asked | None = None,
-        fresh: bool = False,
+        once: bool = False,
     ) -> AttemptEnd:
         """Send one request to one target and wait for the head of its answer.
 
@@ -533,8 +538,9 @@
             The target that is meant; another one at the address refuses.
         asked : Asked, optional
             A probe whose connection is used.
-        fresh : bool, default False
-            Whether to use no connection that has rested.
+        once : bool, default False
+            Whether the request may run only once, so that a connection which
+            its target may have forgotten is no choice.
 
         Notes
         -----
@@ -545,7 +551,8 @@
         if asked is not None:
             asked.link = None
         if not isinstance(link, TargetLink) or link.closed:
-            taken = await (pool.connect() if fresh else pool.take())
+            most = _RESTED_ONCE_S if once else _IDLE_MOST_S
+            taken = await pool.take(rested_most=most)
             if isinstance(taken, NotSent):
                 return taken
             link = taken
