--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -15,7 +15,7 @@
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.bodies import HeldBody
-from dunlinnotch.coordination.fresh import FRESH_S, excess
+from dunlinnotch.coordination.fresh import FRESH_S, spare
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
 from dunlinnotch.protocol.relay import Answered, Asked, NotRun, NotSent
@@ -441,7 +441,7 @@
             if pick is not None:
                 if self._chooser.good(pick.instance, now):
                     return pick
-                if last_chance and excess(pick.instance) <= 0:
+                if last_chance and spare(pick.instance):
                     return pick
                 self._release(pick)
             if last_chance:
@@ -453,12 +453,18 @@
                 return await self._choose(run, run.kind, run.kind.service_at(run.point))
 
     def _known_good(self, run: _Run, service: str) -> _Pick | None:
-        """Return a target that is good by a report of the last milliseconds, if there is one."""
+        """Return a target that is good by a report of the last milliseconds, if there is one.
+
+        Notes
+        -----
+        Only reports that this box got itself count: what several boxes hear
+        at once would send all of them to the same target.
+        """
         now = self._loop.time()
         known = [
             instance
             for instance in self._instances.of(service)
-            if now - instance.reported_at < FRESH_S
+            if now - instance.asked_at < FRESH_S
             and instance.name not in run.tried
             and instance.lapsed_at is None
             and self._chooser.good(instance, now)
--- a/dunlinnotch/coordination/sharing.py
+++ b/dunlinnotch/coordination/sharing.py
@@ -94,6 +94,5 @@
             at = now - shared.age_ms / 1000
             instance = self._instances.find(shared.instance)
             if instance is not None and at > instance.reported_at:
-                instance.heard(
-                    TargetReport(shared.running, shared.waiting, shared.slots, shared.slowness), at
-                )
+                report = TargetReport(shared.running, shared.waiting, shared.slots, shared.slowness)
+                instance.heard(report, at, by_self=False)
