--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -15,19 +15,18 @@
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.bodies import HeldBody
-from dunlinnotch.coordination.fresh import FRESH_S, spare
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
-from dunlinnotch.protocol.relay import Answered, Asked, NotRun, NotSent
+from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
 from dunlinnotch.state.heads import Header
-from dunlinnotch.state.instances import TargetReport
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import AsyncIterator, Callable, Coroutine
+    from collections.abc import AsyncIterator, Callable
 
+    from dunlinnotch.coordination.asking import Pick, TargetSeeker
     from dunlinnotch.coordination.fresh import FreshChooser
-    from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+    from dunlinnotch.coordination.shares import RepeatShare
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
@@ -39,32 +38,14 @@
 _READ_FIRST = 64 * 1024
 #: Part of the target latency for which a request waits for a good target.
 _WAIT_SHARE = 0.2
-#: Pause before full targets are asked again, in seconds.
-_PAUSE_S = 0.01
-#: Longest wait for the answers of the targets asked at once, in seconds.
-_ASK_S = 0.04
-#: A probe without an answer for so long counts as a failure, in seconds.
-_ASK_LOST_S = 0.3
 #: When to come back, at least, in seconds.
 _COME_BACK_S = 0.05
+#: When to come back to a box that knows no settings yet, in seconds.
+_COME_BACK_UNKNOWING_S = 0.3
 
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class AskPlan:
-    """How many targets are asked before a request is sent.
-
-    Parameters
-    ----------
-    first, more : int
-        Targets asked at once, and further ones if none of those is good.
-    """
-
-    first: int = 4
-    more: int = 4
-
-
 @dataclass(frozen=True, slots=True)
 class Ending:
     """How a request ended.
@@ -114,15 +95,6 @@
     tried: set[str] = field(default_factory=set)
 
 
-@dataclass(frozen=True, slots=True)
-class _Pick:
-    """A target chosen, with the probe that spoke for it."""
-
-    instance: Instance
-    asked: Asked | None
-    why: str
-
-
 class ForwardObserver(Protocol):
     """Is told of the end of each request, for metrics."""
 
@@ -141,14 +113,11 @@
         Returns the seconds since the settings were last known to be the newest.
     instances : InstanceList
     chooser : FreshChooser
-    probes : ProbeShare
+    seeker : TargetSeeker
     make_repeats : callable
         Makes the repeat budget of a service.
     targets : TargetPort
     observer : ForwardObserver
-    on_report : callable
-        Called with each target that has just told its load to this box.
-    plan : AskPlan
     rng : random.Random
     """
 
@@ -159,29 +128,24 @@
         age: Callable[[], Seconds],
         instances: InstanceList,
         chooser: FreshChooser,
-        probes: ProbeShare,
+        seeker: TargetSeeker,
         make_repeats: Callable[[], RepeatShare],
         targets: TargetPort,
         observer: ForwardObserver,
-        on_report: Callable[[Instance], None],
-        plan: AskPlan,
         rng: random.Random,
     ) -> None:
         self._routes = routes
         self._age = age
         self._instances = instances
         self._chooser = chooser
-        self._probes = probes
+        self._seeker = seeker
         self._make_repeats = make_repeats
         self._targets = targets
         self._observer = observer
-        self._on_report = on_report
-        self._plan = plan
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
-        self._asking: set[asyncio.Task[None]] = set()
         self.in_flight = 0
 
     def repeats(self, service: str) -> RepeatShare:
@@ -197,8 +161,7 @@
             share.ratio, share.slack, share.window = ratio, slack, window
 
     def set_boxes(self, boxes: int) -> None:
-        """Set by how many boxes the budgets of the system are shared."""
-        self._probes.boxes = boxes
+        """Set by how many boxes the budget of repeats is shared."""
         for share in self._repeats.values():
             share.boxes = boxes
 
@@ -274,7 +237,7 @@
             return ending
         headers = []
         if ending.status == 503:
-            wait = _COME_BACK_S
+            wait = _COME_BACK_UNKNOWING_S if ending.reason is Reason.NO_SETTINGS else _COME_BACK_S
             if run.kind is not None:
                 wait += run.kind.target_latency * _WAIT_SHARE * self._rng.random()
             headers.append(Header("Retry-After", f"{wait:.3f}"))
@@ -299,10 +262,10 @@
             if pick is None:
                 return last or self._nobody(run, service)
             if not self._still(run, pick):
-                self._release(pick)
+                self._seeker.release(pick)
                 continue
             if run.sends and not self.repeats(service).take():
-                self._release(pick)
+                self._seeker.release(pick)
                 return last or self._nobody(run, service)
             end = await self._attempt(run, kind, pick)
             settled = await self._settle(run, kind, pick.instance, end)
@@ -310,7 +273,7 @@
                 return settled
             last = settled
 
-    def _still(self, run: _Run, pick: _Pick) -> bool:
+    def _still(self, run: _Run, pick: Pick) -> bool:
         """Return whether what the choice rests on still holds after waiting for probes."""
         table = self._routes()
         kind = None if table is None else table.match(run.request.host, run.request.path)
@@ -329,7 +292,7 @@
             return False
         return kind.repeatable or not run.may_have_run
 
-    async def _attempt(self, run: _Run, kind: RequestKind, pick: _Pick) -> AttemptEnd:
+    async def _attempt(self, run: _Run, kind: RequestKind, pick: Pick) -> AttemptEnd:
         instance = pick.instance
         now = self._loop.time()
         request = run.request
@@ -373,10 +336,10 @@
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
             run.may_have_run = self._ran_before(run)
-            self._heard(instance, end.report)
+            self._seeker.heard(instance, end.report)
             if end.elsewhere:
                 self._instances.leave(instance.name)
-                self._log_belief("target-replaced", instance)
+                event(_log, "target-replaced", instance=instance.name, target=instance.address)
             detail = f"the target refused with status {end.status}"
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
         if end.reason is not Reason.BODY_BROKEN:
@@ -394,7 +357,7 @@
         """Pass an answer to the caller, to its last byte or not cleanly at all."""
         answer = answered.answer
         head = answer.head
-        self._heard(instance, answered.report)
+        self._seeker.heard(instance, answered.report)
         failed = head.status >= 500
         try:
             whole = await answer.whole_within(_READ_FIRST)
@@ -427,190 +390,18 @@
         others = [i for i in self._instances.of(run.service) if i.name not in run.tried]
         return bool(others)
 
-    # -- choosing by fresh reports
-
-    async def _choose(self, run: _Run, kind: RequestKind, service: str) -> _Pick | None:
-        """Return a target that is good enough, the best there is, or None in time."""
-        give_up = run.request.arrived + kind.target_latency * _WAIT_SHARE
-        if run.sends:
-            give_up = self._loop.time() + kind.target_latency * _WAIT_SHARE
-        while True:
-            pick = self._known_good(run, service) or await self._ask_round(run, service)
-            now = self._loop.time()
-            last_chance = now + _PAUSE_S >= give_up
-            if pick is not None:
-                if self._chooser.good(pick.instance, now):
-                    return pick
-                if last_chance and spare(pick.instance):
-                    return pick
-                self._release(pick)
-            if last_chance:
-                return None
-            await asyncio.sleep(_PAUSE_S * (0.7 + 0.6 * self._rng.random()))
-            if self._look_up(run) is not None or run.kind is None:
-                return None
-            if run.kind.service_at(run.point) != service:
-                return await self._choose(run, run.kind, run.kind.service_at(run.point))
-
-    def _known_good(self, run: _Run, service: str) -> _Pick | None:
-        """Return a target that is good by a report of the last milliseconds, if there is one.
-
-        Notes
-        -----
-        Only reports that this box got itself count: what several boxes hear
-        at once would send all of them to the same target.
-        """
-        now = self._loop.time()
-        known = [
-            instance
-            for instance in self._instances.of(service)
-            if now - instance.asked_at < FRESH_S
-            and instance.name not in run.tried
-            and instance.lapsed_at is None
-            and self._chooser.good(instance, now)
-        ]
-        if not known:
-            return None
-        return _Pick(self._chooser.order(known, now, exclude=())[0], None, "fresh")
-
-    async def _ask_round(self, run: _Run, service: str) -> _Pick | None:
-        now = self._loop.time()
-        instances = self._instances.of(service)
-        order = self._chooser.order(instances, now, exclude=run.tried)
-        if not order:
-            order = self._chooser.order(instances, now, exclude=())
-            if run.tried and not order:
-                return None
-        if not order:
-            return None
-        answers: dict[Instance, Asked] = {}
-        first, more = self._plan.first, self._plan.more
-        try:
-            for group in (order[:first], order[first : first + more]):
-                good = await self._ask_group(group, service, answers)
-                if good is not None:
-                    return self._take(good, answers, "good")
-        except BaseException:
-            for instance, asked in answers.items():
-                self._targets.release(instance.address, asked)
-            raise
-        return self._best(order, answers)
-
-    def _take(self, chosen: Instance, answers: dict[Instance, Asked], why: str) -> _Pick:
-        for instance, asked in answers.items():
-            if instance is not chosen:
-                self._targets.release(instance.address, asked)
-        return _Pick(chosen, answers.get(chosen), why)
-
-    def _best(self, order: list[Instance], answers: dict[Instance, Asked]) -> _Pick | None:
-        now = self._loop.time()
-        if answers:
-            best = min(answers, key=lambda i: self._chooser.expected(i, now))
-            return self._take(best, answers, "best")
-        rest = [i for i in order if now >= i.aside_until] or order
-        best = min(rest, key=lambda i: self._chooser.expected(i, now) + self._rng.random())
-        return _Pick(best, None, "unasked")
-
-    async def _ask_group(
-        self, group: list[Instance], service: str, answers: dict[Instance, Asked]
-    ) -> Instance | None:
-        """Ask some targets at once; return the first that is good."""
-        table = self._routes()
-        info = None if table is None else table.services.get(service)
-        if info is None or not info.probe_path:
-            return None
-        heard: asyncio.Queue[tuple[Instance, Asked]] = asyncio.Queue()
-        waiting = 0
-        for instance in group:
-            if self._probes.take(instance.name):
-                self._keep(self._ask(instance, info.probe_path, heard))
-                waiting += 1
-        until = self._loop.time() + _ASK_S
-        try:
-            while waiting:
-                try:
-                    async with asyncio.timeout_at(until):
-                        instance, asked = await heard.get()
-                except TimeoutError:
-                    return None
-                waiting -= 1
-                if asked.instance is None:
-                    continue
-                if not self._usable(instance, asked):
-                    self._targets.release(instance.address, asked)
-                    continue
-                answers[instance] = asked
-                if self._chooser.good(instance, self._loop.time()):
-                    return instance
-            return None
-        finally:
-            if waiting:
-                self._keep(self._release_late(heard, waiting))
-
-    def _keep(self, work: Coroutine[None, None, None]) -> None:
-        """Run something that goes on when the request that began it does not wait for it."""
-        task = self._loop.create_task(work)
-        self._asking.add(task)
-        task.add_done_callback(self._asking.discard)
-
-    async def _release_late(
-        self, heard: asyncio.Queue[tuple[Instance, Asked]], waiting: int
-    ) -> None:
-        """Give back the connections of probes that answer after the choice was made."""
-        for _ in range(waiting):
-            instance, asked = await heard.get()
-            self._targets.release(instance.address, asked)
-
-    def _usable(self, instance: Instance, asked: Asked) -> bool:
-        if asked.instance != instance.name:
-            if self._instances.leave(instance.name):
-                self._log_belief("target-replaced", instance, now_there=asked.instance)
-            return False
-        return not instance.replaced and asked.report is not None
-
-    async def _ask(
-        self, instance: Instance, path: str, heard: asyncio.Queue[tuple[Instance, Asked]]
-    ) -> None:
-        try:
-            async with asyncio.timeout(_ASK_LOST_S):
-                asked = await self._targets.ask(instance.address, path)
-        except TimeoutError:
-            asked = Asked(None, False, None, "no answer to a probe")
-        now = self._loop.time()
-        if asked.instance is None:
-            self._chooser.failed(instance, now)
-        elif asked.instance == instance.name:
-            instance.well = asked.well
-            if asked.report is None:
-                # It tells no load: what this box has there is all that is known.
-                asked.report = TargetReport(instance.own, 0, max(1, instance.listed.slots))
-            self._heard(instance, asked.report)
-        heard.put_nowait((instance, asked))
-
-    def _heard(self, instance: Instance, report: TargetReport | None) -> None:
-        """Take in a report that this box has got itself."""
-        if report is not None:
-            instance.heard(report, self._loop.time())
-            self._on_report(instance)
-
-    def _release(self, pick: _Pick) -> None:
-        if pick.asked is not None:
-            self._targets.release(pick.instance.address, pick.asked)
+    async def _choose(self, run: _Run, kind: RequestKind, service: str) -> Pick | None:
+        """Look for a target, at most for a share of the target latency."""
+        since = self._loop.time() if run.sends else run.request.arrived
+        return await self._seeker.choose(
+            service,
+            rank=kind.rank,
+            tried=run.tried,
+            give_up=since + kind.target_latency * _WAIT_SHARE,
+        )
 
     # -- logs
 
-    @staticmethod
-    def _log_belief(name: str, instance: Instance, *, now_there: str | None = None) -> None:
-        event(
-            _log,
-            name,
-            instance=instance.name,
-            service=instance.listed.service,
-            target=instance.address,
-            sequence=instance.listed.sequence,
-            now_there=now_there,
-        )
-
     def _log_end(self, run: _Run, ending: Ending) -> None:
         now = self._loop.time()
         took = now - run.request.arrived
--- a/dunlinnotch/coordination/fresh.py
+++ b/dunlinnotch/coordination/fresh.py
@@ -21,8 +21,6 @@
 FRESH_S = 0.012
 #: A report says something of a target's speed for about this long, in seconds.
 USEFUL_S = 0.3
-#: A target heard to be slow, or full, is asked after the others for so long, in seconds.
-_SLOW_S, _FULL_S = 0.2, 0.03
 #: Expected time, as a multiple of an idle target's, up to which a target is taken at once.
 GOOD = 1.35
 #: Failures in a row after which a target is set aside.
@@ -68,20 +66,14 @@
     return max(0.2, report.slowness) * factor * rounds * cold * ill + away
 
 
-def spare(instance: Instance) -> bool:
-    """Return whether one more request leaves a target below the load that slows it down.
-
-    Notes
-    -----
-    Where work takes 1.7 times as long with all slots in use, three slots do
-    less in a second than two.
-    """
+def excess(instance: Instance) -> float:
+    """Return the requests at a target beyond its slots, as a share of the slots."""
     report = instance.report
     if report is None:
-        return True
+        return 0.0
     slots = max(1, report.slots)
     ahead = report.running + report.waiting + instance.sent_since_report
-    return ahead + 1 <= max(1, int(slots * _KNEE))
+    return (ahead + 1 - slots) / slots
 
 
 class FreshChooser:
@@ -105,10 +97,9 @@
 
         Notes
         -----
-        First those heard to be fast, then those of which nothing was heard
-        lately, then full ones, slow ones, and those set aside; in each group
-        the own place goes first.  By chance among equals, so that boxes do
-        not run to the same one.
+        First those of the own place of which nothing bad was heard lately,
+        then others, then those heard to be slow or full, then those set
+        aside; by chance among equals, so that boxes do not run to the same one.
         """
         usable = [i for i in instances if i.name not in exclude and not i.replaced]
         return sorted(usable, key=lambda i: (self._rung(i, now), self._rng.random()))
@@ -116,16 +107,11 @@
     def _rung(self, instance: Instance, now: Seconds) -> int:
         away = instance.listed.place != self._place
         if now < instance.aside_until:
-            return 9
+            return 5
         if instance.lapsed_at is not None:
-            return 8
-        age = now - instance.reported_at
-        if instance.report is None or age > _SLOW_S:
+            return 4
+        if now - instance.reported_at < USEFUL_S and expected_time(instance, now) > GOOD:
             return 2 + away
-        if instance.report.slowness > GOOD:
-            return 6 + away
-        if age < _FULL_S and not spare(instance):
-            return 4 + away
         return int(away)
 
     def expected(self, instance: Instance, now: Seconds) -> float:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -11,13 +11,13 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
+from dunlinnotch.coordination.asking import AskPlan, TargetSeeker
 from dunlinnotch.coordination.beliefs import RoutesInForce, TargetsListed
 from dunlinnotch.coordination.following import TableFollower
-from dunlinnotch.coordination.forward import AskPlan, Forwarder
+from dunlinnotch.coordination.forward import Forwarder
 from dunlinnotch.coordination.fresh import FreshChooser
 from dunlinnotch.coordination.mesh import DRAINING, RUNNING, Mesh
 from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
-from dunlinnotch.coordination.sharing import SHARE_S, ReportSharing
 from dunlinnotch.daemon.figures import Figures
 from dunlinnotch.daemon.stop import StopPlan
 from dunlinnotch.errors import ProtocolError
@@ -44,7 +44,7 @@
 #: Time between two words of a box, in seconds.
 WORD_S = 0.5
 #: Time that a new box gives its peers to tell it their tables before it reads the store.
-_HEAR_FIRST_S = 0.35
+_HEAR_FIRST_S = 0.12
 _FETCH_S = 1.0
 _LOOK_S = 0.05
 #: Connections that a target accepts are shared by at least so many boxes.
@@ -165,29 +165,31 @@
         self.figures = Figures(self._gauges)
         self._targets = TargetClient(adapter.targets)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
-        self._sharing = ReportSharing(
-            self.instances,
-            self.mesh,
-            send=lambda reports, to: self._words.send_reports(reports, to),
-            clock=clock,
+        chooser = FreshChooser(place=settings.place, rng=rng)
+        self.seeker = TargetSeeker(
+            instances=self.instances,
+            chooser=chooser,
+            probes=self.probes,
+            probe_path=self._probe_path,
+            targets=self._targets,
+            plan=AskPlan(),
             rng=rng,
+            log=_log,
         )
         self.forwarder = Forwarder(
             routes=lambda: self.routes.table,
             age=lambda: self.mesh.age(self._settings_rows),
             instances=self.instances,
-            chooser=FreshChooser(place=settings.place, rng=rng),
-            probes=self.probes,
+            chooser=chooser,
+            seeker=self.seeker,
             make_repeats=self._make_repeats,
             targets=self._targets,
             observer=self.figures,
-            on_report=self._sharing.heard,
-            plan=AskPlan(),
             rng=rng,
         )
         self.limits = ServerLimits()
         self._front = StreamServer(self._serve, limits=self.limits)
-        self._words = WordPort(self._take_word, self._sharing.take)
+        self._words = WordPort(self._take_word)
         self._table_port = TablePort(self._tell_table)
         self._servers: list[StreamServer] = []
         self._fetching: set[str] = set()
@@ -211,7 +213,6 @@
         for follower in self.followers:
             self._spawn(follower.run())
         self._spawn(self._look_after())
-        self._spawn(self._share_reports())
         await self._stop_asked.wait()
         await self._stop()
 
@@ -272,8 +273,8 @@
         until = self._loop.time() + _HEAR_FIRST_S
         while self._loop.time() < until:
             self._words.send(self.mesh.own_word(wants_word=True), self._seeds())
-            for _ in range(3):
-                await asyncio.sleep(_LOOK_S)
+            for _ in range(4):
+                await asyncio.sleep(_LOOK_S / 5)
                 if all(table.known for table in self.tables.values()):
                     return
 
@@ -293,14 +294,11 @@
                 self.mesh.reading = reading
                 self._tell_news()
             self.mesh.in_flight = self.forwarder.in_flight
-            self.forwarder.set_boxes(max(self.mesh.most_boxes, _BOXES_LEAST))
+            boxes = max(self.mesh.most_boxes, _BOXES_LEAST)
+            self.probes.boxes = boxes
+            self.forwarder.set_boxes(boxes)
             await asyncio.sleep(_LOOK_S)
 
-    async def _share_reports(self) -> None:
-        while True:
-            self._sharing.flush()
-            await asyncio.sleep(SHARE_S)
-
     def _can_serve(self) -> bool:
         return self.routes.table is not None and all(t.known for t in self.tables.values())
 
@@ -353,6 +351,11 @@
         share.boxes = max(self.mesh.most_boxes, _BOXES_LEAST)
         return share
 
+    def _probe_path(self, service: str) -> str:
+        table = self.routes.table
+        info = None if table is None else table.services.get(service)
+        return "" if info is None else info.probe_path
+
     # -- what the box believes
 
     def _on_routes(self, table: RouteTable) -> None:
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -7,20 +7,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
 from dunlinnotch.state.followed import TableDelta, TableRow
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
-
 _FORMAT = 1
-_REPORTS = 2
-#: A msgpack list of two, the first of which is the mark of reports.
-_REPORTS_START = bytes([0x92, _REPORTS])
 #: Words of another release, or of nobody, are not taken.
 _WORD_FIELDS = 11
 
@@ -134,64 +128,6 @@
         raise ProtocolError(msg) from None
 
 
-@dataclass(frozen=True, slots=True)
-class SharedReport:
-    """What a box has just heard of a target's load.
-
-    Parameters
-    ----------
-    instance : str
-    age_ms : int
-        Since the target said it.
-    running, waiting, slots : int
-    slowness : float
-    """
-
-    instance: str
-    age_ms: int
-    running: int
-    waiting: int
-    slots: int
-    slowness: float
-
-
-def pack_reports(reports: Sequence[SharedReport]) -> bytes:
-    """Return some reports as one datagram."""
-    rows = [
-        [r.instance, r.age_ms, r.running, r.waiting, r.slots, round(r.slowness * 100)]
-        for r in reports
-    ]
-    packed: bytes = msgpack.packb([_REPORTS, rows])
-    return packed
-
-
-def unpack_reports(data: bytes) -> list[SharedReport]:
-    """Return the reports in a datagram.
-
-    Raises
-    ------
-    ProtocolError
-        If it holds none.
-    """
-    try:
-        kind, rows = msgpack.unpackb(data)
-        if kind != _REPORTS:
-            msg = "no reports"
-            raise ProtocolError(msg)
-        return [
-            SharedReport(str(name), int(age), int(run), int(wait), int(slots), slowness / 100)
-            for name, age, run, wait, slots, slowness in rows
-        ]
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        msg = f"no reports: {error}"
-        raise ProtocolError(msg) from None
-
-
-def is_reports(data: bytes) -> bool:
-    """Return whether a datagram claims to hold reports."""
-    return data[:2] == _REPORTS_START
-
-
 def pack_delta(delta: TableDelta, *, age_ms: int) -> dict[str, Any]:
     """Return a table's changes as plain data."""
     rows = [[row.key, row.version, row.value] for row in delta.rows]
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -73,7 +73,6 @@
     sent_since_report: int = 0
     report: TargetReport | None = None
     reported_at: Seconds = -1e9
-    asked_at: Seconds = -1e9
     failures: int = 0
     aside_until: Seconds = 0.0
     replaced: bool = False
@@ -90,20 +89,10 @@
         """Where it is reached."""
         return self.listed.address
 
-    def heard(self, report: TargetReport, at: Seconds, *, by_self: bool = True) -> None:
-        """Take in what the target said of its load at a time.
-
-        Parameters
-        ----------
-        report : TargetReport
-        at : float
-        by_self : bool, default True
-            Whether this box heard it itself; else another one has told it.
-        """
+    def heard(self, report: TargetReport, now: Seconds) -> None:
+        """Take in what the target says of its load."""
         self.report = report
-        self.reported_at = at
-        if by_self:
-            self.asked_at = at
+        self.reported_at = now
         self.sent_since_report = 0
 
 
--- a/dunlinnotch/transport/stream/peers.py
+++ b/dunlinnotch/transport/stream/peers.py
@@ -8,20 +8,11 @@
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import (
-    is_reports,
-    pack_delta,
-    pack_reports,
-    pack_word,
-    unpack_delta,
-    unpack_reports,
-    unpack_word,
-)
+from dunlinnotch.protocol.mesh import BoxWord, pack_delta, pack_word, unpack_delta, unpack_word
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Iterable
 
-    from dunlinnotch.protocol.mesh import BoxWord, SharedReport
     from dunlinnotch.state.followed import TableDelta
     from dunlinnotch.types import Address, Seconds
 
@@ -40,17 +31,11 @@
 
     Parameters
     ----------
-    on_word, on_reports : callable
-        Called with each word, and with the reports of each datagram that holds some.
+    on_word : callable
     """
 
-    def __init__(
-        self,
-        on_word: Callable[[BoxWord], None],
-        on_reports: Callable[[list[SharedReport]], None],
-    ) -> None:
+    def __init__(self, on_word: Callable[[BoxWord], None]) -> None:
         self._on_word = on_word
-        self._on_reports = on_reports
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
         self.bad = 0
@@ -63,27 +48,20 @@
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Take in a word; anything else is counted."""
         try:
-            if is_reports(data):
-                self._on_reports(unpack_reports(data))
-            else:
-                self._on_word(unpack_word(data))
+            word = unpack_word(data)
         except ProtocolError:
             self.bad += 1
+            return
+        self._on_word(word)
 
     def error_received(self, exc: Exception) -> None:
         """Do nothing: a peer that is not there is noticed by its silence."""
 
     def send(self, word: BoxWord, to: Iterable[Address]) -> None:
         """Send a word to some peers."""
-        self._send(pack_word(word), to)
-
-    def send_reports(self, reports: Sequence[SharedReport], to: Iterable[Address]) -> None:
-        """Send reports to some peers."""
-        self._send(pack_reports(reports), to)
-
-    def _send(self, data: bytes, to: Iterable[Address]) -> None:
         if self._transport is None:
             return
+        data = pack_word(word)
         for address in to:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
