--- a/dunlinnotch/state/followed.py
+++ b/dunlinnotch/state/followed.py
@@ -101,6 +101,8 @@
             changed += [
                 self._remove(k, delta.version) for k in list(self._rows) if k not in present
             ]
+            # Rows may have come and gone unseen, so nobody is told of changes before this.
+            self._gone_floor = max(self._gone_floor, delta.version)
         self.version = delta.version
         self.verify(at)
         if changed:
