Send nothing that can't end in time

Ruled out: the target's queue being longer than told. Change: each kind's usual time is learnt from answers; what would not end is refused as not run.

--- a/dunlinnotch/coordination/asking.py
+++ b/dunlinnotch/coordination/asking.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -100,7 +101,13 @@
         self._running: set[asyncio.Task[None]] = set()
 
     async def choose(
-        self, service: str, *, rank: int, tried: Collection[str], give_up: Seconds
+        self,
+        service: str,
+        *,
+        rank: int,
+        tried: Collection[str],
+        give_up: Seconds,
+        most: float = math.inf,
     ) -> Pick | None:
         """Return a target for one request, or None if there is none in time.
 
@@ -113,6 +120,9 @@
             Targets that the request has been sent to.
         give_up : float
             Monotonic seconds until which a good target is waited for.
+        most : float, optional
+            Greatest expected time, as a multiple of the usual one, at which the
+            request still ends in time.
         """
         while True:
             pick = self._known_good(service, tried) or await self._ask_round(service, tried)
@@ -121,14 +131,18 @@
             if pick is not None:
                 if self._chooser.good(pick.instance, now):
                     return pick
-                most = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
-                if last_chance and excess(pick.instance) <= most:
+                if last_chance and self._bearable(pick.instance, rank, most, now):
                     return pick
                 self.release(pick)
             if last_chance:
                 return None
             await asyncio.sleep(_PAUSE_S * (0.7 + 0.6 * self._rng.random()))
 
+    def _bearable(self, instance: Instance, rank: int, most: float, now: Seconds) -> bool:
+        """Return whether a request may be sent to a target that is not good."""
+        wait = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
+        return excess(instance) <= wait and self._chooser.expected(instance, now) <= most
+
     def release(self, pick: Pick) -> None:
         """Give back a target that is not used."""
         if pick.asked is not None:
--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/forward.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -43,6 +44,11 @@
 #: When to come back to a box that knows no settings yet, in seconds.
 _COME_BACK_UNKNOWING_S = 0.3
 
+#: Answers of targets up to this expected time tell the usual time of a kind.
+_USUAL_EXPECTED = 1.5
+#: Weight of a new answer in the usual time.
+_USUAL_GAIN = 0.05
+
 _log = logging.getLogger(__name__)
 
 
@@ -146,6 +152,7 @@
         self._loop = asyncio.get_running_loop()
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
+        self._usual: dict[str, Seconds] = {}
         self.in_flight = 0
 
     def repeats(self, service: str) -> RepeatShare:
@@ -382,6 +389,7 @@
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
+            self._note_usual(run, kind)
             answer.close()
 
     def _worth_repeating(self, run: _Run, kind: RequestKind) -> bool:
@@ -398,8 +406,25 @@
             rank=kind.rank,
             tried=run.tried,
             give_up=since + kind.target_latency * _WAIT_SHARE,
+            most=self._most_expected(run, kind),
         )
 
+    def _most_expected(self, run: _Run, kind: RequestKind) -> float:
+        """Return how many usual times of its kind a request has left."""
+        usual = self._usual.get(kind.name)
+        if usual is None:
+            return math.inf
+        until = min(run.request.deadline, run.request.arrived + kind.timeout)
+        return max(0.0, until - self._loop.time()) / usual
+
+    def _note_usual(self, run: _Run, kind: RequestKind) -> None:
+        """Learn how long a kind takes at a target of usual speed with free slots."""
+        trial = run.tries[-1]
+        if trial.expected <= _USUAL_EXPECTED:
+            took = trial.took / max(1.0, trial.expected)
+            usual = self._usual.get(kind.name, took)
+            self._usual[kind.name] = usual + _USUAL_GAIN * (took - usual)
+
     # -- logs
 
     def _log_end(self, run: _Run, ending: Ending) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -212,6 +212,28 @@
     run(test)
 
 
+def test_nothing_is_sent_that_cannot_end_in_time():
+    async def test():
+        async with stream_world(workers=0) as world:
+            worker = await world.add_worker(WorkerSettings(work_s=0.05))
+            box = world.boxes[0]
+            await until(lambda: box.instances.of("loans"))
+            for number in range(3):
+                assert (
+                    await call(box, "/lend/", f"r{number}", method="POST", body=b"x")
+                ).status == 200
+            worker.settings.slowness = 4000
+            late = await call(box, "/lend/", "hopeless", method="POST", body=b"x", deadline_ms=900)
+            assert late.status == 503
+            assert "retry-after" in late.headers
+            assert "hopeless" not in world.ran
+            # With enough time, the same target is better than none.
+            slow = await call(box, "/lend/", "patient", method="POST", body=b"x")
+            assert slow.status == 200
+
+    run(test)
+
+
 def test_new_settings_and_leaving_targets_are_in_force_without_a_restart():
     async def test():
         async with stream_world() as world:
