--- a/dunlinnotch/cli/common.py
+++ b/dunlinnotch/cli/common.py
@@ -30,7 +30,7 @@
 
 
 class Exit(IntEnum):
-    """Exit statuses; the table in ``docs/OPERATING.md`` explains each."""
+    """Exit statuses; the table in ``docs/OPERATIONS.md`` explains each."""
 
     OK = 0
     FAILED = 1
--- a/dunlinnotch/errors.py
+++ b/dunlinnotch/errors.py
@@ -16,7 +16,7 @@
     ----------
     code : str
         Stable identifier, the same in logs, in exit messages and in
-        ``docs/OPERATING.md``.
+        ``docs/OPERATIONS.md``.
     """
 
     code: ClassVar[str] = "internal"
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -22,12 +22,12 @@
 
 @pytest.mark.parametrize("code", codes())
 def test_every_code_has_its_remedy_in_the_operators_page(code):
-    assert f"| `{code}` |" in (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+    assert f"| `{code}` |" in (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 @pytest.mark.parametrize("status", list(Exit))
 def test_every_exit_status_is_explained(status):
-    assert f"| {status.value} |" in (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+    assert f"| {status.value} |" in (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 
 
 def test_example_for_embedding_runs():
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch.config import Config
+from dunlinnotch.daemon.figures import FIGURES
 from dunlinnotch.daemon.metrics import Metric
 from dunlinnotch.state.schema import FIELD_NAMES, Settings, allowed, default_of, unit_of
 
@@ -73,10 +74,15 @@
 def metrics_page() -> str:
     """Return the page on metrics."""
     rows = [[f"`{m.value.name}`", m.value.type, m.value.unit, m.value.meaning] for m in Metric]
+    told = [[f"`{f.name}`", f.type, f.labels or "-", f.meaning] for f in FIGURES]
     return (
         f"# Metrics\n\n{_NOTE}\n"
         "Sent by statsd to the server set as `statsd` in `[metrics]`; each name follows\n"
-        "`PREFIX.BOX.`.\n\n" + table(["name", "type", "unit", "meaning"], rows)
+        "`PREFIX.BOX.`.\n\n"
+        + table(["name", "type", "unit", "meaning"], rows)
+        + "\n## On the users' platform\n\n"
+        "Told as text on request; each name follows `dunlinnotch_`.\n\n"
+        + table(["name", "type", "labels", "meaning"], told)
     )
 
 
