Bound the time of a head that comes slowly

Cause: a connection's task waited for its idle time, and a head that had begun did not wake it, so a caller could keep half a head open for idle_s. Test: tests/test_stream_server.py, limits; it failed before.

--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -316,6 +316,8 @@
         """Begin a request."""
         self._begun = Exchange(self, 0.0)
         self._head_started = self.server.loop.time()
+        # The connection's task waits for an idle time that no longer counts.
+        self._news.set()
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the request's target."""
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,133 @@
+"""Readers of the store: hung calls, lost answers, forgotten history, taking over."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from dunlinnotch.coordination import following
+from dunlinnotch.coordination.following import TableFollower
+from dunlinnotch.coordination.mesh import RUNNING, Mesh
+from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.protocol.store import HistoryGone
+from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
+from tests.stream_world import until
+
+
+class Source:
+    """A store whose next answers the test sets."""
+
+    def __init__(self):
+        self.version = 1
+        self.answers = []
+        self.reads = 0
+        self.asked = []
+
+    def whole(self):
+        return TableDelta("t", self.version, True, (TableRow("k", self.version, b"v"),))
+
+    async def read_table(self, table):
+        self.reads += 1
+        return self.whole()
+
+    async def changes(self, table, after, wait):
+        self.asked.append(after)
+        answer = self.answers.pop(0) if self.answers else "hang"
+        if answer == "hang":
+            await asyncio.sleep(3600)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def follow(test):
+    """Run a test with a follower whose box is alone, so that it reads."""
+
+    async def bounded():
+        source = Source()
+        table = FollowedTable("t", lambda _: None)
+        mesh = Mesh(
+            name="a",
+            place="p",
+            incarnation=1,
+            caller="c",
+            peer="q",
+            tables=[table],
+            clock=asyncio.get_running_loop().time,
+        )
+        mesh.state = RUNNING
+        news = []
+        follower = TableFollower(
+            table, source, mesh, on_news=lambda: news.append(table.version), rng=random.Random(1)
+        )
+        task = asyncio.create_task(follower.run())
+        try:
+            async with asyncio.timeout(20):
+                await test(source, table, follower, news)
+        finally:
+            task.cancel()
+
+    asyncio.run(bounded())
+
+
+def test_a_table_is_read_whole_first_and_then_followed():
+    async def test(source, table, follower, news):
+        source.answers = [TableDelta("t", 3, False, (TableRow("k", 3, b"w"),))]
+        await until(lambda: table.version == 3)
+        assert source.reads == 1
+        assert news == [1, 3]
+        await until(lambda: source.asked == [1, 3])
+
+    follow(test)
+
+
+def test_a_lost_answer_is_a_failure_until_the_next_call_succeeds():
+    async def test(source, table, follower, news):
+        source.answers = [
+            PlatformUnavailableError("lost"),
+            TableDelta("t", 2, False, (TableRow("k", 2, b"w"),)),
+        ]
+        await until(lambda: follower.failing)
+        assert table.version == 1
+        await until(lambda: table.version == 2)
+        assert not follower.failing
+
+    follow(test)
+
+
+def test_forgotten_history_is_read_whole():
+    async def test(source, table, follower, news):
+        await until(lambda: source.asked == [1])
+        source.version = 9
+
+    async def gone(source, table, follower, news):
+        source.answers = [HistoryGone()]
+        source.version = 9
+        await until(lambda: table.version == 9)
+
+    follow(test)
+    follow(gone)
+
+
+def test_a_call_that_does_not_tell_what_a_peer_told_is_made_anew(monkeypatch):
+    monkeypatch.setattr(following, "_BEHIND_S", 0.02)
+
+    async def test(source, table, follower, news):
+        await until(lambda: source.asked == [1])
+        # A peer tells version 4; the call that hangs should have told it as well.
+        table.take(TableDelta("t", 4, False, (TableRow("k", 4, b"x"),)), at=0.0)
+        follower.look_again()
+        await until(lambda: source.asked == [1, 4])
+
+    follow(test)
+
+
+def test_a_call_that_hangs_longer_than_it_may_is_given_up(monkeypatch):
+    monkeypatch.setattr(following, "WAIT_LEAD_S", 0.02)
+    monkeypatch.setattr(following, "_SLACK_S", 0.02)
+
+    async def test(source, table, follower, news):
+        await until(lambda: len(source.asked) >= 2)
+        assert follower.failing
+
+    follow(test)
--- /dev/null
+++ b/tests/test_stream_server.py
@@ -0,0 +1,209 @@
+"""The server on the event loop: strict heads, limits, early closes, planned ends."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dunlinnotch.protocol.attempt import BodyCutError
+from dunlinnotch.transport.stream.server import ServerLimits, StreamServer
+from tests.stream_world import read_answer, until
+
+
+class Served:
+    """A server that notes what its handler was given."""
+
+    def __init__(self, **limits):
+        self.requests = []
+        self.bodies = []
+        self.cancelled = 0
+        self.hold = None
+        self.limits = ServerLimits(**limits)
+
+    async def __aenter__(self):
+        self.server = StreamServer(self._serve, limits=self.limits)
+        self.address = await self.server.listen("127.0.0.1:0")
+        return self
+
+    async def __aexit__(self, *_):
+        await self.server.close()
+
+    async def _serve(self, exchange):
+        self.requests.append((exchange.method, exchange.path))
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+            self.bodies.append(b"".join([part async for part in exchange.body()]))
+            exchange.reply(200, (), b"ok")
+        except BodyCutError:
+            exchange.reply(exchange.error or 400, (), b"")
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def connect(self):
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+def run(test):
+    """Run an asynchronous test with a bound on its whole time."""
+
+    async def bounded():
+        async with asyncio.timeout(20):
+            await test()
+
+    asyncio.run(bounded())
+
+
+BAD_HEADS = {
+    "two lengths": b"POST / HTTP/1.1\r\nHost: a\r\n"
+    b"Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+    "length with chunks": b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nab",
+    "unknown coding": b"POST / HTTP/1.1\r\nHost: a\r\n"
+    b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "bare CR": b"GET / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n",
+    "bare LF": b"GET / HTTP/1.1\nHost: a\n\n",
+    "folded": b"GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n",
+    "blank before colon": b"GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+    "two hosts": b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    "signed length": b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +2\r\n\r\nab",
+    "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", BAD_HEADS)
+def test_a_head_that_two_parsers_may_read_differently_reaches_nobody(name):
+    async def test():
+        async with Served() as served:
+            reader, writer = await served.connect()
+            writer.write(BAD_HEADS[name])
+            answer = await read_answer(reader)
+            assert (answer.status, answer.headers["connection"]) == (400, "close")
+            assert await reader.read() == b""
+            assert served.requests == []
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "chunk", [b"+5\r\nhello\r\n", b"-1\r\n", b"0x5\r\nhello\r\n", b"5\r\nhelloX\r\n"]
+)
+def test_a_chunk_that_breaks_its_framing_cuts_the_body(chunk):
+    async def test():
+        async with Served() as served:
+            reader, writer = await served.connect()
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
+            )
+            assert (await read_answer(reader)).status == 400
+            assert await reader.read() == b""
+            assert served.bodies == []
+            writer.close()
+
+    run(test)
+
+
+def test_requests_of_one_connection_are_answered_in_turn():
+    async def test():
+        async with Served() as served:
+            reader, writer = await served.connect()
+            for number in range(3):
+                writer.write(b"POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx" % number)
+            assert [(await read_answer(reader)).status for _ in range(3)] == [200] * 3
+            assert [path for _, path in served.requests] == ["/0", "/1", "/2"]
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("limits", "sent", "status"),
+    [
+        ({"head_bytes": 200}, b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 400, 431),
+        ({"body_bytes": 3}, b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n", 413),
+        (
+            {"body_bytes": 3},
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+            413,
+        ),
+        ({"head_s": 0.05}, b"GET / HTTP/1.1\r\nHo", 408),
+    ],
+)
+def test_limits_are_kept(limits, sent, status):
+    async def test():
+        async with Served(**limits) as served:
+            reader, writer = await served.connect()
+            writer.write(sent)
+            assert (await read_answer(reader)).status == status
+            assert await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
+def test_an_idle_connection_is_closed_without_a_word():
+    async def test():
+        async with Served(idle_s=0.05) as served:
+            reader, writer = await served.connect()
+            assert await reader.read() == b""
+            writer.close()
+
+    run(test)
+
+
+def test_a_caller_that_leaves_cancels_its_handler():
+    async def test():
+        async with Served() as served:
+            served.hold = asyncio.Event()
+            _, writer = await served.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await until(lambda: served.requests)
+            writer.close()
+            await until(lambda: served.cancelled == 1)
+
+    run(test)
+
+
+def test_a_long_body_is_not_taken_in_faster_than_it_is_read():
+    async def test():
+        async with Served() as served:
+            served.hold = asyncio.Event()
+            reader, writer = await served.connect()
+            size = 32 * 1024 * 1024
+            writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size)
+            writer.write(b"x" * size)
+            await until(lambda: served.requests)
+            await asyncio.sleep(0.05)
+            # Most of it still waits at the sender: the server has stopped reading.
+            assert writer.transport.get_write_buffer_size() > size // 2
+            served.hold.set()
+            assert (await read_answer(reader)).status == 200
+            assert len(served.bodies[0]) == size
+            writer.close()
+
+    run(test)
+
+
+def test_closing_ends_idle_connections_and_lets_answers_go_out():
+    async def test():
+        async with Served() as served:
+            served.hold = asyncio.Event()
+            idle_reader, idle_writer = await served.connect()
+            reader, writer = await served.connect()
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await until(lambda: served.requests)
+            served.server.stop_listening()
+            served.server.close_idle()
+            assert await idle_reader.read() == b""
+            served.hold.set()
+            answer = await read_answer(reader)
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            assert await reader.read() == b""
+            for open_writer in (writer, idle_writer):
+                open_writer.close()
+
+    run(test)
