--- a/dunlinnotch/coordination/following.py
+++ b/dunlinnotch/coordination/following.py
@@ -27,6 +27,8 @@
 _BEHIND_S = 0.25
 #: Time between two looks whether this box is to read, in seconds.
 _LOOK_S = 0.2
+#: Pause of a reader that is not the lead after an answer that told something, in seconds.
+_AFTER_NEWS_S = 0.4
 #: Pause after a call that failed, in seconds: first and longest.
 _PAUSE_S = (0.1, 0.8)
 #: An answer is taken to hold from so long before it came, in seconds.
@@ -75,8 +77,12 @@
             if not self._mesh.is_reader():
                 await asyncio.sleep(_LOOK_S)
                 continue
+            before = self._table.version
             if await self._turn():
                 self._well()
+                if self._table.version > before and not self._mesh.is_lead():
+                    # The lead tells the next change; a call for each would cost the store.
+                    await asyncio.sleep(_AFTER_NEWS_S)
             else:
                 self._failed()
                 first, longest = _PAUSE_S
