Mutants for the mechanisms of the users' platform; settings never go back

Twelve new mutants, all seen. One of a call that hangs was unseen at first: the test passed by the call's own time-out; it now has none. One that reuses a connection with a surplus answer was dropped before landing: the answer's id catches it as well, so nothing outside changes.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -16,13 +16,23 @@
 import pytest
 
 from dunlinnotch.coordination import once, probes, seats, settings
+from dunlinnotch.coordination.asking import TargetSeeker
+from dunlinnotch.coordination.beliefs import RoutesInForce, TargetsListed
 from dunlinnotch.coordination.drain import Drain
+from dunlinnotch.coordination.following import TableFollower
+from dunlinnotch.coordination.forward import Forwarder
 from dunlinnotch.coordination.gate import WorkGate
 from dunlinnotch.coordination.membership import Membership
+from dunlinnotch.coordination.mesh import Mesh
 from dunlinnotch.coordination.router import Router
+from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.protocol.answers import OnceKey, parse_once_key
 from dunlinnotch.protocol.attempt import Broken
 from dunlinnotch.protocol.outcome import Outcome
+from dunlinnotch.protocol.relay import Verdict
+from dunlinnotch.state.followed import FollowedTable
+from dunlinnotch.state.instances import InstanceList
 from dunlinnotch.state.ledger import Claim, ClaimStatus, KeyEntry, OnceLedger
 from dunlinnotch.state.targets import TargetRecord
 from dunlinnotch.state.tree import SettingsTree
@@ -142,7 +152,98 @@
     return ()
 
 
+def _repeat_anything(self, run, kind, ended):
+    return not run.reply.begun and run.sends < 3
+
+
+def _anybodys_answer(self, head, request):
+    return Verdict.OURS
+
+
+def _no_promise_checked(self, head, request):
+    verdict = _judge(self, head, request)
+    return Verdict.NOT_RUN if head.status == 503 else verdict
+
+
+_judge = WorkerDialect.judge
+
+
+def _leave_nothing(self, instance, *, for_good=False):
+    return False
+
+
+def _since_without_floor(self, version):
+    self._gone_floor = 0
+    return _since(self, version)
+
+
+_since = FollowedTable.since
+
+
+def _any_version(self, data, row_version):
+    self.table = self._parse(data)
+    self._on_change(self.table)
+
+
+def _spend_freely(self, target=""):
+    return True
+
+
+def _nobody_reads(self):
+    return False
+
+
+def _never_behind(self, call):
+    return None
+
+
+def _bear_anything(self, instance, rank, most, now):
+    return True
+
+
+def _keep_lapsed(self, keys):
+    return True
+
+
+ENTRY, SHARES = "tests/test_entry.py", "tests/test_shares.py"
+
 MUTANTS = (
+    Mutant("repeat what may run once", Forwarder, "_may_repeat", _repeat_anything, ENTRY),
+    Mutant("take any answer for one's own", WorkerDialect, "judge", _anybodys_answer, ENTRY),
+    Mutant("promise for a bare 503", WorkerDialect, "judge", _no_promise_checked, ENTRY),
+    Mutant("let no target leave", InstanceList, "leave", _leave_nothing, ENTRY),
+    Mutant(
+        "tell a peer only what one saw",
+        FollowedTable,
+        "since",
+        _since_without_floor,
+        "tests/test_followed.py",
+    ),
+    Mutant(
+        "go back to older settings",
+        RoutesInForce,
+        "_take_document",
+        _any_version,
+        "tests/test_beliefs.py",
+    ),
+    Mutant(
+        "keep a row that vanished alone",
+        TargetsListed,
+        "_many",
+        _keep_lapsed,
+        "tests/test_beliefs.py",
+    ),
+    Mutant("probe without a budget", ProbeShare, "take", _spend_freely, SHARES),
+    Mutant("repeat without a budget", RepeatShare, "take", _spend_freely, SHARES),
+    Mutant("leave the store to others", Mesh, "is_reader", _nobody_reads, "tests/test_mesh.py"),
+    Mutant(
+        "trust a call that hangs",
+        TableFollower,
+        "_break_off",
+        _never_behind,
+        "tests/test_following.py",
+    ),
+    Mutant("send what can't end in time", TargetSeeker, "_bearable", _bear_anything, ENTRY),
     Mutant("retry a loan after it was sent", Router, "_may_retry", _retry_anything),
     Mutant("say not run of a broken attempt", Router, "_not_answered", _say_not_run),
     Mutant(
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dunlinnotch.coordination.beliefs import LAPSE_S, TargetsListed
+from dunlinnotch.coordination.beliefs import LAPSE_S, RoutesInForce, TargetsListed
+from dunlinnotch.errors import SettingsError
 from dunlinnotch.state.followed import TableRow
 from dunlinnotch.state.instances import InstanceList, ListedTarget
+from dunlinnotch.state.routes import CallerLimits, RouteTable
 
 
 class Clock:
@@ -52,3 +54,23 @@
     clock.now += LAPSE_S + 0.1
     targets.expire()
     assert names(instances) == ["1", "6"]
+
+
+def table(version):
+    return RouteTable(version, (), {}, CallerLimits())
+
+
+def test_settings_never_go_back_and_a_bad_document_changes_nothing():
+    put = []
+
+    def parse(data):
+        if data == b"bad":
+            raise SettingsError("bad")
+        return table(int(data))
+
+    routes = RoutesInForce(parse, key="config", on_change=lambda t: put.append(t.version))
+    for number, value in enumerate([b"3", b"bad", b"2", b"3", b"7", b"5"]):
+        routes.take([TableRow("config", number, value), TableRow("other", number, b"9")])
+    routes.take([TableRow("config", 99, None)])
+    assert put == [3, 7]
+    assert routes.table.version == 7
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -111,6 +111,8 @@
 
 def test_a_call_that_does_not_tell_what_a_peer_told_is_made_anew(monkeypatch):
     monkeypatch.setattr(following, "_BEHIND_S", 0.02)
+    # Nothing but what the peer told ends the call.
+    monkeypatch.setattr(following, "WAIT_LEAD_S", 3600.0)
 
     async def test(source, table, follower, news):
         await until(lambda: source.asked == [1])
