--- a/dunlinnotch/coordination/asking.py
+++ b/dunlinnotch/coordination/asking.py
@@ -157,19 +157,19 @@
     # -- asking
 
     def _known_good(self, service: str, tried: Collection[str]) -> Pick | None:
-        """Return a target that is good by a report of the last milliseconds, if there is one."""
+        """Return one of those to ask that is good by a report of the last milliseconds.
+
+        Notes
+        -----
+        Of those to ask only: taking the best known of all sends a box's
+        requests to the one target that it has just heard, again and again.
+        """
         now = self._loop.time()
-        known = [
-            instance
-            for instance in self._instances.of(service)
-            if now - instance.reported_at < FRESH_S
-            and instance.name not in tried
-            and instance.lapsed_at is None
-            and self._chooser.good(instance, now)
-        ]
-        if not known:
-            return None
-        return Pick(self._chooser.order(known, now, exclude=())[0], None, "fresh")
+        order = self._chooser.order(self._instances.of(service), now, exclude=tried)
+        for instance in order[: self._plan.first]:
+            if now - instance.reported_at < FRESH_S and self._chooser.good(instance, now):
+                return Pick(instance, None, "fresh")
+        return None
 
     async def _ask_round(self, service: str, tried: Collection[str]) -> Pick | None:
         """Ask a few targets; return the first good one, else the best that answered."""
