--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -2,7 +2,8 @@
 
 Platform, targets of two services in two places and three boxes run as plain
 processes of their own.  Callers send lookups and loan requests while a weight
-is changed and a box and a target are drained.  Ends by itself within 30 s;
+is changed and a box and a target are drained.  Then two entry
+boxes show the same on the users' platform.  Ends by itself within 30 s;
 the exit status is 1 if a call was lost.
 """
 
@@ -18,6 +19,7 @@
 from pathlib import Path
 
 from demo.fleet import Fleet, kind_changes, place_changes, wait_until
+from demo.users import show as show_users
 from dunlinnotch.protocol.outcome import Outcome
 from dunlinnotch.state.schema import RunState
 from dunlinnotch.state.tree import BOX_PREFIX, TARGET_PREFIX, Change
@@ -197,6 +199,7 @@
     began = time.monotonic()
     with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
         lost = Demo(fleet).run()
+        lost += show_users(Path(directory))
     took = time.monotonic() - began
     print(f"\n{'all calls answered' if not lost else f'{lost} FAILED'} in {took:.1f} s")
     return 1 if lost else 0
--- /dev/null
+++ b/tests/test_users_processes.py
@@ -0,0 +1,87 @@
+"""Entry boxes as processes, with settings files, signals and real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+from demo.users import UsersFleet, document, until
+from dunlinnotch.transport.stream.fetch import Fetcher
+
+
+def run(tmp_path, test):
+    """Run a test with a fleet of its own."""
+
+    async def bounded():
+        async with asyncio.timeout(60), UsersFleet(tmp_path) as fleet:
+            fleet.store.put("op", "config", document(1, "holdings"))
+            await fleet.add_worker("holdings")
+            await test(fleet)
+
+    asyncio.run(bounded())
+
+
+def test_a_box_serves_tells_and_stops(tmp_path):
+    async def test(fleet):
+        box = await fleet.start_box()
+        assert (await fleet.call(box, "/lookup/a"))[0] == 200
+        assert (await fleet.call(box, "/loan/a", method="POST"))[0] == 200
+        answer = await Fetcher(box.directory).fetch(
+            "GET", "/api/resolve?name=x&region=r&zone=hall-a", timeout=5.0
+        )
+        plain = json.loads(answer.body)
+        assert plain["addresses"] == [box.caller]
+        assert plain["ttl"].endswith("ms")
+        figures = (await Fetcher(box.figures).fetch("GET", "/metrics", timeout=5.0)).body.decode()
+        assert 'dunlinnotch_requests_total{kind="lookup",outcome="answered",reason=""} 1' in figures
+        assert "dunlinnotch_settings_version 1" in figures
+        assert await fleet.status_of(box.readiness, "/elsewhere") == 404
+        box.send_signal(signal.SIGTERM)
+        await fleet.wait_ready(box, status=503)
+        assert await box.ended() == 0
+        events = [json.loads(line)["event"] for line in box.events().splitlines()]
+        for event in ("started", "serving", "settings-in-force", "route", "stopping", "stopped"):
+            assert event in events
+
+    run(tmp_path, test)
+
+
+def test_a_bad_settings_file_stops_the_start(tmp_path):
+    async def test(fleet):
+        box = fleet.make_box()
+        box.write_settings(fleet.store.address, [], **{"network.bind.front": "everywhere"})
+        box.start()
+        assert await box.ended() == 2
+        assert "config-invalid: network.bind.front = 'everywhere'" in box.events()
+
+    run(tmp_path, test)
+
+
+def test_settings_are_read_again_on_sighup(tmp_path):
+    async def test(fleet):
+        box = await fleet.start_box()
+        box.write_settings(fleet.store.address, [box.ip], **{"terms.bounds.grace": "3s"})
+        box.send_signal(signal.SIGHUP)
+        await until(lambda: '"event":"reloaded"' in box.events(), "reloaded")
+        box.write_settings(fleet.store.address, [box.ip], **{"terms.bounds.grace": "long"})
+        box.send_signal(signal.SIGHUP)
+        await until(lambda: '"event":"reload-refused"' in box.events(), "refused")
+        assert (await fleet.call(box, "/lookup/a"))[0] == 200
+
+    run(tmp_path, test)
+
+
+def test_a_killed_box_is_replaced_and_the_others_go_on(tmp_path):
+    async def test(fleet):
+        first, second = await fleet.start_box(), await fleet.start_box()
+        await until(lambda: '"box":"front-1"' in second.events(), "the boxes have met")
+        first.send_signal(signal.SIGKILL)
+        assert await first.ended() == -signal.SIGKILL
+        fleet.store.put("op", "config", document(2, "holdings"))
+        await until(lambda: '"version":2' in second.events(), "the other box reads for itself")
+        first.start()
+        await fleet.wait_ready(first)
+        assert (await fleet.call(first, "/lookup/a"))[0] == 200
+
+    run(tmp_path, test)
