--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -27,7 +27,7 @@
 
 CALLERS = 6
 PLACES = ("hall-a", "hall-b")
-STEP_S = 2.0
+STEP_S = 1.5
 
 
 @dataclass(slots=True)
