Call one piece where logic stood twice; remove what nothing calls

pass_on was end_to_end of protocol/http again; the adapter was put together in the program and in the tests; changed_after, a logger and a flag had no use.

--- a/dunlinnotch/platform/__main__.py
+++ b/dunlinnotch/platform/__main__.py
@@ -13,12 +13,11 @@
 from pathlib import Path  # noqa: E402
 
 from dunlinnotch._logs import BoundedStream, configure_stream  # noqa: E402
-from dunlinnotch.daemon.entry import Adapter, EntryBox, EntrySettings, run_until_stopped  # noqa: E402
+from dunlinnotch.daemon.entry import EntryBox, EntrySettings, run_until_stopped  # noqa: E402
 from dunlinnotch.errors import ConfigError  # noqa: E402
-from dunlinnotch.platform import documents, settings_file  # noqa: E402
-from dunlinnotch.platform.dialect import WorkerDialect, read_request  # noqa: E402
+from dunlinnotch.platform import settings_file  # noqa: E402
+from dunlinnotch.platform.adapter import make_adapter  # noqa: E402
 from dunlinnotch.platform.doors import Doors  # noqa: E402
-from dunlinnotch.platform.store import PlatformStore  # noqa: E402
 from dunlinnotch.platform.watch import SettingsWatch  # noqa: E402
 from dunlinnotch.transport.stream.server import StreamServer  # noqa: E402
 
@@ -44,19 +43,7 @@
 async def _run(
     settings: EntrySettings, doors: settings_file.Doors, stream: BoundedStream, path: Path
 ) -> None:
-    store = PlatformStore(doors.store)
-    adapter = Adapter(
-        source=store,
-        settings_table=documents.OPERATOR_TABLE,
-        settings_key=documents.OPERATOR_KEY,
-        targets_table=documents.TARGETS_TABLE,
-        read_settings=documents.read_document,
-        read_target=documents.read_worker,
-        targets=WorkerDialect(),
-        read_request=read_request,
-        store_calls=lambda: store.calls,
-        store_failures=lambda: store.failures,
-    )
+    adapter = make_adapter(doors.store)
     box = EntryBox(settings, adapter, rng=random.Random(), dropped_lines=lambda: stream.dropped)
     answers = Doors(box, longest_ttl=doors.longest_ttl)
     for address, handler in (
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -4,10 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from dunlinnotch.protocol.http import end_to_end
 from dunlinnotch.protocol.relay import CallerRequest, Verdict
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.instances import TargetReport
-from dunlinnotch.transport.stream.common import find, pass_on
+from dunlinnotch.transport.stream.common import find
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -64,7 +65,7 @@
         self, request: CallerRequest, *, left: float, instance: str
     ) -> Sequence[Header]:
         """Return the headers of a request passed on with ``left`` seconds to run."""
-        headers = pass_on(request.headers, without=_SET_BY_SYSTEM)
+        headers = list(end_to_end(request.headers, _SET_BY_SYSTEM))
         headers.append(Header(DEADLINE, str(max(1, int(left * 1000)))))
         headers.append(Header(EXPECT_INSTANCE, instance))
         return headers
@@ -91,7 +92,7 @@
 
     def answer_headers(self, head: AnswerHead) -> Sequence[Header]:
         """Return the headers of an answer that go on to the client."""
-        return pass_on(head.headers, without=_FOR_SYSTEM)
+        return end_to_end(head.headers, _FOR_SYSTEM)
 
     def report(self, head: AnswerHead) -> TargetReport | None:
         """Return the load that an answer tells."""
--- a/dunlinnotch/state/followed.py
+++ b/dunlinnotch/state/followed.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from dunlinnotch.types import Seconds
 
@@ -139,10 +139,5 @@
         return gone
 
 
-def changed_after(rows: Iterable[TableRow], version: int) -> list[TableRow]:
-    """Return the rows written after a version, in order."""
-    return sorted((row for row in rows if row.version > version), key=_by_version)
-
-
 def _by_version(row: TableRow) -> int:
     return row.version
--- a/dunlinnotch/transport/stream/common.py
+++ b/dunlinnotch/transport/stream/common.py
@@ -9,8 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from dunlinnotch.protocol.http import HOP_BY_HOP
-
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterable, Sequence
@@ -76,26 +74,6 @@
     return None
 
 
-def pass_on(headers: Iterable[Header], *, without: frozenset[str]) -> list[Header]:
-    """Return the headers that do not concern one connection only.
-
-    Parameters
-    ----------
-    headers : iterable of Header
-    without : frozenset of str
-        Further lower-case names to leave out.
-    """
-    named = list(headers)
-    listed = {
-        token.strip().lower()
-        for header in named
-        if header.name.lower() == "connection"
-        for token in header.value.split(",")
-    }
-    dropped = HOP_BY_HOP | without | listed | {"content-length"}
-    return [header for header in named if header.name.lower() not in dropped]
-
-
 def request_head(method: str, path: str, headers: Iterable[Header], *, length: int | None) -> bytes:
     """Return the head of a request; a body of unknown length is sent in chunks."""
     lines = [f"{method} {path} HTTP/1.1"]
--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import struct
 from collections import deque
@@ -31,8 +30,6 @@
 #: Linger on, for no time: closing resets.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-_log = logging.getLogger(__name__)
-
 
 class ServerLimits:
     """What callers may send, and for how long they may be silent.
@@ -238,7 +235,6 @@
         self.server = server
         self.gate = WriteGate()
         self.gone = False
-        self.busy = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reading: Exchange | None = None
@@ -288,9 +284,7 @@
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._break(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._break(400)
         if self._reading is None and self._head_size > self.server.limits.head_bytes:
             self._break(431)
@@ -416,9 +410,7 @@
             while await self._next():
                 exchange = self._waiting.popleft()
                 self.resume_reading()
-                self.busy = True
                 await self._answer(exchange)
-                self.busy = False
                 if not exchange.keep_alive or self.closing or not exchange.ended:
                     break
         except asyncio.CancelledError:
--- a/tests/stream_world.py
+++ b/tests/stream_world.py
@@ -9,10 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from dunlinnotch.daemon.entry import Adapter, EntryBox, EntrySettings
-from dunlinnotch.platform import documents
-from dunlinnotch.platform.dialect import WorkerDialect, read_request
-from dunlinnotch.platform.store import PlatformStore
+from dunlinnotch.daemon.entry import EntryBox, EntrySettings
+from dunlinnotch.platform.adapter import make_adapter
 from dunlinnotch.standins.users.store import StoreStandin
 from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
 
@@ -103,7 +101,6 @@
     ) -> EntryBox:
         """Return a box that has not been started."""
         number = len(self.boxes) + 1
-        store = PlatformStore(self.store.address)
         settings = EntrySettings(
             name=f"box-{number}",
             place=place,
@@ -116,18 +113,7 @@
             repeat_slack=640.0,
             repeat_window=10.0,
         )
-        adapter = Adapter(
-            source=store,
-            settings_table=documents.OPERATOR_TABLE,
-            settings_key=documents.OPERATOR_KEY,
-            targets_table=documents.TARGETS_TABLE,
-            read_settings=documents.read_document,
-            read_target=documents.read_worker,
-            targets=WorkerDialect(),
-            read_request=read_request,
-            store_calls=lambda: store.calls,
-            store_failures=lambda: store.failures,
-        )
+        adapter = make_adapter(self.store.address)
         box = EntryBox(settings, adapter, rng=random.Random(number), dropped_lines=lambda: 0)
         self.boxes.append(box)
         return box
