The lead of the readers is one of those that read

Cause: the lead, whose follow-up calls end after 1 s, was the first name of all boxes that could read. In most systems that box follows nothing, so every reader let its calls wait 5 s, all knowledge passed 2.2 s of age, and every box read the store for itself.

Ruled out: nothing else was changed.

--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/mesh.py
@@ -99,6 +99,7 @@
             peer=self.peer,
             state=self.state,
             reading=self.reading,
+            follows=self.is_first(),
             in_flight=self.in_flight,
             tables=tables,
             wants_word=wants_word,
@@ -170,20 +171,26 @@
         now = self._clock()
         return [h.word for h in self._heard.values() if now - h.at <= SUSPECT_S]
 
-    def is_reader(self) -> bool:
-        """Return whether this box follows the store: the first of its place, or if need be."""
-        first = [self.name] if self.reading and self.state != DRAINING else []
-        first += [
+    def is_first(self) -> bool:
+        """Return whether this box is the one of its place that follows the store."""
+        able = [self.name] if self.reading and self.state != DRAINING else []
+        able += [
             word.name
             for word in self.live()
             if word.place == self.place and word.reading and word.state != DRAINING
         ]
-        return not first or highest(self.place, first, 1) == [self.name] or self.stale()
+        return not able or highest(self.place, able, 1) == [self.name]
+
+    def is_reader(self) -> bool:
+        """Return whether this box reads the store: the first of its place, or if need be."""
+        return self.is_first() or self.stale()
 
     def is_lead(self) -> bool:
-        """Return whether this box is the one reader that looks often."""
-        names = [self.name] + [w.name for w in self.live() if w.reading and w.state == RUNNING]
-        return min(names) == self.name
+        """Return whether this box is the one, of those that follow the store, that looks often."""
+        if not self.is_first():
+            return False
+        names = [w.name for w in self.live() if w.follows and w.reading and w.state == RUNNING]
+        return self.name <= min(names, default=self.name)
 
     def stale(self) -> bool:
         """Return whether some table is so old that this box must read for itself."""
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -14,8 +14,8 @@
 from dunlinnotch.errors import ProtocolError
 from dunlinnotch.state.followed import TableDelta, TableRow
 
-_FORMAT = 1
 #: Words of another release, or of nobody, are not taken.
+_FORMAT = 2
 _WORD_FIELDS = 11
 
 
@@ -51,6 +51,8 @@
         ``starting``, ``running`` or ``draining``.
     reading : bool
         Whether its reads of the store succeed.
+    follows : bool
+        Whether it is the box of its place that follows the store.
     in_flight : int
     tables : dict of str to TableState
     wants_word : bool
@@ -65,6 +67,7 @@
     peer: str
     state: str
     reading: bool
+    follows: bool
     in_flight: int
     tables: dict[str, TableState]
     wants_word: bool = False
@@ -87,7 +90,7 @@
         word.caller,
         word.peer,
         word.state,
-        [word.reading, word.wants_word],
+        [word.reading, word.follows, word.wants_word],
         word.in_flight,
         tables,
     ]
@@ -108,7 +111,7 @@
         if not isinstance(fields, list) or len(fields) < _WORD_FIELDS or fields[0] != _FORMAT:
             msg = f"no word of format {_FORMAT}"
             raise ProtocolError(msg)
-        reading, wants = fields[8]
+        reading, follows, wants = fields[8]
         tables = {str(n): TableState(int(v), int(a)) for n, (v, a) in fields[10].items()}
         return BoxWord(
             name=str(fields[1]),
@@ -119,6 +122,7 @@
             peer=str(fields[6]),
             state=str(fields[7]),
             reading=bool(reading),
+            follows=bool(follows),
             in_flight=int(fields[9]),
             tables=tables,
             wants_word=bool(wants),
