Bound whom a box tells: its own place, and a box of each other place

Change: from 33 boxes on, a box tells up to 48 boxes of its own place and one of each other place, drawn anew each time; those that follow the store tell each other. News of a table goes to six at once; who took it over tells six more. A new box learns of its place from a seed, and whoever hears a new box answers it. A word tells how many boxes each place has, so budgets are still divided by all. A reader tells its place at once that nothing changed. A word told on is now as old as it is (it was taken as just spoken). Up to 32 boxes all stays as it was. tests/test_links.py runs 142 meshes, with 5 % of the words lost.

Ruled out: gossip of rows (a place is small enough to be heard directly).

--- a/dunlinnotch/coordination/following.py
+++ b/dunlinnotch/coordination/following.py
@@ -18,9 +18,10 @@
     from dunlinnotch.protocol.store import TableSource
     from dunlinnotch.state.followed import FollowedTable
 
-#: How long a follow-up call waits for a change, by the lead reader and by others, in seconds.
+#: How long a follow-up call waits for a change, by the lead reader and by others, in
+#: seconds: shorter than knowledge takes to be stale, so that a place needs no other.
 WAIT_LEAD_S = 1.0
-WAIT_S = 5.0
+WAIT_S = 1.5
 #: Time beyond the wait after which a follow-up call counts as hung, in seconds.
 _SLACK_S = 0.6
 #: A follow-up call is made anew if a peer knows more for this long, in seconds.
@@ -45,8 +46,8 @@
     table : FollowedTable
     source : TableSource
     mesh : Mesh
-    on_news : callable
-        Called after each answer that changed the table.
+    on_answer : callable
+        Called after each answer, with whether it changed the table.
     rng : random.Random
     """
 
@@ -56,13 +57,13 @@
         source: TableSource,
         mesh: Mesh,
         *,
-        on_news: Callable[[], None],
+        on_answer: Callable[[bool], None],
         rng: random.Random,
     ) -> None:
         self._table = table
         self._source = source
         self._mesh = mesh
-        self._on_news = on_news
+        self._on_answer = on_answer
         self._rng = rng
         self._asked_after = 0
         self._detail = ""
@@ -134,8 +135,7 @@
             self._detail = str(error) or type(error).__name__
             return False
         at = max(sent, self._loop.time() - _ANSWER_AGE_S)
-        if table.take(delta, at=at):
-            self._on_news()
+        self._on_answer(table.take(delta, at=at))
         return True
 
     def _well(self) -> None:
--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/mesh.py
@@ -9,14 +9,17 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
+from dunlinnotch.coordination.links import Links
 from dunlinnotch.coordination.subset import highest
 from dunlinnotch.protocol.mesh import BoxWord, TableState
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from dunlinnotch.state.followed import FollowedTable
@@ -52,6 +55,8 @@
         This box's own addresses.
     tables : iterable of FollowedTable
     clock : callable
+    rng : random.Random
+        Draws whom to tell.
     """
 
     def __init__(
@@ -64,6 +69,7 @@
         peer: Address,
         tables: Iterable[FollowedTable],
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         self.name = name
         self.place = place
@@ -77,7 +83,9 @@
         self._clock = clock
         self._seq = 0
         self._heard: dict[str, _Heard] = {}
-        self.most_boxes = 1
+        self._known: Counter[str] = Counter()
+        self._place_boxes: dict[str, int] = {place: 1}
+        self._links = Links(name, place, rng=rng)
 
     def own_word(self, *, wants_word: bool = False) -> BoxWord:
         """Return a new word of this box."""
@@ -101,6 +109,7 @@
             reading=self.reading,
             follows=self.is_first(),
             in_flight=self.in_flight,
+            boxes=dict(self._place_boxes),
             tables=tables,
             wants_word=wants_word,
         )
@@ -124,11 +133,24 @@
                 reading=word.reading,
                 before=None if known is None else known.word.state,
             )
+        self._known[word.place] += known is None
         self._heard[word.name] = _Heard(word, now)
-        self.most_boxes = max(self.most_boxes, len(self._heard) + 1)
+        self._count(word)
         self._verify_by(word, now)
         return True
 
+    @property
+    def most_boxes(self) -> int:
+        """The most boxes that there may be, over all places."""
+        return sum(self._place_boxes.values())
+
+    def _count(self, word: BoxWord) -> None:
+        """Note how many boxes the places have: as many as are known, or as anybody tells."""
+        known = self._known[word.place] + (word.place == self.place)
+        for place, boxes in {**word.boxes, word.place: known}.items():
+            told = max(boxes, word.boxes.get(place, 0))
+            self._place_boxes[place] = max(told, self._place_boxes.get(place, 0))
+
     @staticmethod
     def _differs(old: BoxWord, new: BoxWord) -> bool:
         return (old.state, old.incarnation, old.reading) != (
@@ -157,15 +179,48 @@
                 found.append(name)
         return found
 
+    def knows(self, name: str) -> bool:
+        """Return whether a box has been heard and not forgotten."""
+        return name in self._heard
+
     def others(self) -> list[BoxWord]:
         """Return the last words of all boxes not forgotten."""
         now = self._clock()
         gone = [name for name, heard in self._heard.items() if now - heard.at > FORGET_S]
         for name in gone:
-            del self._heard[name]
+            place = self._heard.pop(name).word.place
+            self._known[place] -= 1
             event(_log, "box-forgotten", box=name)
         return [heard.word for heard in self._heard.values()]
 
+    def to_tell(self) -> list[Address]:
+        """Return the peers that are to hear this box's word at each turn."""
+        return [word.peer for word in self._links.near(self.others())]
+
+    def to_tell_far(self) -> list[Address]:
+        """Return a few peers of other places, where there are too many boxes to tell all."""
+        far = self._links.far(self.others(), follows=self.is_first())
+        return [word.peer for word in far]
+
+    def follower(self) -> list[BoxWord]:
+        """Return the word of the box of this place that follows the store, aged until now."""
+        now = self._clock()
+        return [
+            heard.word.aged(now - heard.at)
+            for heard in self._heard.values()
+            if heard.word.follows and heard.word.place == self.place and now - heard.at <= SUSPECT_S
+        ]
+
+    def to_tell_news(self) -> list[Address]:
+        """Return the peers that are to hear at once of news of a table; they pass it on."""
+        return [word.peer for word in self._links.news(self.others())]
+
+    def introductions(self, place: str) -> list[BoxWord]:
+        """Return the words that a new box of a place needs to find its peers, aged until now."""
+        now = self._clock()
+        chosen = self._links.introduced(place, self.live())
+        return [word.aged(now - self._heard[word.name].at) for word in chosen]
+
     def live(self) -> list[BoxWord]:
         """Return the last words of the boxes heard lately, without this one."""
         now = self._clock()
@@ -214,4 +269,11 @@
         if self.state == RUNNING:
             entries.append((self.place, self._caller))
         near = [caller for where, caller in entries if where == place]
-        return near if len(near) > 1 else [caller for _, caller in entries]
+        if len(near) <= 1 or (place != self.place and not self._knows_all(place)):
+            return [caller for _, caller in entries]
+        return near
+
+    def _knows_all(self, place: str) -> bool:
+        """Return whether this box hears most boxes of a place, not just a few drawn by chance."""
+        heard = sum(word.place == place for word in self.live())
+        return heard * 2 > self._place_boxes.get(place, 0)
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -157,9 +157,10 @@
             peer=settings.peer,
             tables=self.tables.values(),
             clock=clock,
+            rng=rng,
         )
         self.followers = [
-            TableFollower(table, adapter.source, self.mesh, on_news=self._tell_news, rng=rng)
+            TableFollower(table, adapter.source, self.mesh, on_answer=self._tell_answer, rng=rng)
             for table in self.tables.values()
         ]
         self.figures = Figures(self._gauges)
@@ -272,7 +273,7 @@
         """Ask the seeds for what they know before reading the store."""
         until = self._loop.time() + _HEAR_FIRST_S
         while self._loop.time() < until:
-            self._words.send(self.mesh.own_word(wants_word=True), self._seeds())
+            self._words.send([self.mesh.own_word(wants_word=True)], self._seeds())
             for _ in range(4):
                 await asyncio.sleep(_LOOK_S / 5)
                 if all(table.known for table in self.tables.values()):
@@ -287,12 +288,12 @@
             if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
                 self.mesh.state = RUNNING
                 event(_log, "serving", box=self.mesh.name, version=self._version())
-                self._tell_news()
+                self._tell_state()
             self._listed.expire()
             reading = not any(follower.failing for follower in self.followers)
             if reading != self.mesh.reading:
                 self.mesh.reading = reading
-                self._tell_news()
+                self._tell_state()
             self.mesh.in_flight = self.forwarder.in_flight
             boxes = max(self.mesh.most_boxes, _BOXES_LEAST)
             self.probes.boxes = boxes
@@ -312,7 +313,7 @@
         began = self._loop.time()
         event(_log, "stopping", box=self.mesh.name, in_flight=self.forwarder.in_flight)
         self.mesh.state = DRAINING
-        self._tell_news()
+        self._tell_state()
         self._front.last_answers = True
         await asyncio.sleep(plan.refuse)
         self.refusing = True
@@ -380,34 +381,49 @@
             await asyncio.sleep(WORD_S * (0.9 + 0.2 * self._rng.random()))
 
     def _send_word(self) -> None:
-        words = self.mesh.others()
-        to = {word.peer for word in words}
-        strange = [seed for seed in self._seeds() if seed not in to]
+        strange = [seed for seed in self._seeds() if seed not in self._known_peers()]
         if strange:
-            self._words.send(self.mesh.own_word(wants_word=True), strange)
-        self._words.send(self.mesh.own_word(), to)
-
-    def _tell_news(self) -> None:
-        """Tell all peers at once that something changed here."""
-        self._words.send(self.mesh.own_word(), [word.peer for word in self.mesh.others()])
+            self._words.send([self.mesh.own_word(wants_word=True)], strange)
+        self._tell_all(self.mesh.to_tell())
+
+    def _known_peers(self) -> set[Address]:
+        return {word.peer for word in self.mesh.others()}
+
+    def _tell_all(self, near: list[Address]) -> None:
+        """Send this box's word to peers near by, and to a few far away with what they lack."""
+        word = self.mesh.own_word()
+        self._words.send([word], near)
+        self._words.send([word, *self.mesh.follower()], self.mesh.to_tell_far())
+
+    def _tell_state(self) -> None:
+        """Tell peers at once that something changed at this box."""
+        self._tell_all(self.mesh.to_tell())
+
+    def _tell_answer(self, changed: bool) -> None:
+        """Tell peers at once what this box, as a reader, had from the store."""
+        if changed:
+            self._tell_all(self.mesh.to_tell_news())
+        elif self.mesh.is_first():
+            # Its place knows by this that nothing changed, and need not read for itself.
+            self._words.send([self.mesh.own_word()], self.mesh.to_tell())
 
     def _take_word(self, word: BoxWord) -> None:
+        new = not self.mesh.knows(word.name)
         if not self.mesh.take(word):
             return
         if word.wants_word:
             self._introduce(word)
+        elif new:
+            # It may know this box as little.
+            self._words.send([self.mesh.own_word()], [word.peer])
         for table in self.mesh.newer(word):
             if table not in self._fetching:
                 self._fetching.add(table)
                 self._spawn(self._fetch(table, word.peer))
 
     def _introduce(self, word: BoxWord) -> None:
-        """Answer a box that knows few others, and make it known to them."""
-        self._words.send(self.mesh.own_word(), [word.peer])
-        for other in self.mesh.live():
-            if other.name != word.name:
-                self._words.send(other, [word.peer])
-                self._words.send(word, [other.peer])
+        """Answer a box that knows few others with the words of those that it is to know."""
+        self._words.send([self.mesh.own_word(), *self.mesh.introductions(word.place)], [word.peer])
 
     async def _fetch(self, table: str, peer: Address) -> None:
         followed = self.tables[table]
@@ -422,6 +438,7 @@
             self._fetching.discard(table)
         if age_ms >= 0 and followed.take(delta, at=sent - age_ms / 1000):
             event(_log, "table-fetched", table=table, peer=peer, version=delta.version)
+            self._words.send([self.mesh.own_word()], self.mesh.to_tell_news())
             for follower in self.followers:
                 follower.look_again()
 
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -1,22 +1,29 @@
 """What boxes tell each other: short words by datagram, tables by stream.
 
-A word is one msgpack list, so that it fits a datagram.  A table is asked for
+A word is one msgpack list; a datagram holds one or a few.  A table is asked for
 over a stream: one msgpack map each way.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
 from dunlinnotch.state.followed import TableDelta, TableRow
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from dunlinnotch.types import Seconds
+
 #: Words of another release, or of nobody, are not taken.
-_FORMAT = 2
-_WORD_FIELDS = 11
+_FORMAT = 3
+_WORD_FIELDS = 12
+#: Bytes of words put into one datagram: it is not to be cut on its way.
+_DATAGRAM_MOST = 1200
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +61,8 @@
     follows : bool
         Whether it is the box of its place that follows the store.
     in_flight : int
+    boxes : dict of str to int
+        The most boxes of each place that the sender knows to have been at once.
     tables : dict of str to TableState
     wants_word : bool
         Whether the sender wants to hear the receiver's word now.
@@ -69,6 +78,7 @@
     reading: bool
     follows: bool
     in_flight: int
+    boxes: dict[str, int]
     tables: dict[str, TableState]
     wants_word: bool = False
 
@@ -77,9 +87,30 @@
         """Order of a box's words: the larger one is newer."""
         return (self.incarnation, self.seq)
 
+    def aged(self, by: Seconds) -> BoxWord:
+        """Return the word as it is to be told on ``by`` seconds after it was heard."""
+        tables = {
+            name: state if state.age_ms < 0 else replace(state, age_ms=state.age_ms + int(by * 1000))
+            for name, state in self.tables.items()
+        }
+        return replace(self, tables=tables, wants_word=False)
+
+
+def pack_words(words: Iterable[BoxWord]) -> Iterator[bytes]:
+    """Return words in as few datagrams as hold them."""
+    datagram = b""
+    for word in words:
+        packed = pack_word(word)
+        if datagram and len(datagram) + len(packed) > _DATAGRAM_MOST:
+            yield datagram
+            datagram = b""
+        datagram += packed
+    if datagram:
+        yield datagram
+
 
 def pack_word(word: BoxWord) -> bytes:
-    """Return a word as one datagram."""
+    """Return a word as bytes; those of several words may follow each other."""
     tables = {name: [t.version, t.age_ms] for name, t in word.tables.items()}
     fields = [
         _FORMAT,
@@ -93,43 +124,54 @@
         [word.reading, word.follows, word.wants_word],
         word.in_flight,
         tables,
+        word.boxes,
     ]
     packed: bytes = msgpack.packb(fields)
     return packed
 
 
-def unpack_word(data: bytes) -> BoxWord:
-    """Return the word in a datagram.
+def unpack_words(data: bytes) -> list[BoxWord]:
+    """Return the words in a datagram.
 
     Raises
     ------
     ProtocolError
-        If it is none.
+        If it holds anything else.
     """
+    unpacker = msgpack.Unpacker()
+    unpacker.feed(data)
     try:
-        fields = msgpack.unpackb(data)
-        if not isinstance(fields, list) or len(fields) < _WORD_FIELDS or fields[0] != _FORMAT:
-            msg = f"no word of format {_FORMAT}"
-            raise ProtocolError(msg)
-        reading, follows, wants = fields[8]
-        tables = {str(n): TableState(int(v), int(a)) for n, (v, a) in fields[10].items()}
-        return BoxWord(
-            name=str(fields[1]),
-            place=str(fields[2]),
-            incarnation=int(fields[3]),
-            seq=int(fields[4]),
-            caller=str(fields[5]),
-            peer=str(fields[6]),
-            state=str(fields[7]),
-            reading=bool(reading),
-            follows=bool(follows),
-            in_flight=int(fields[9]),
-            tables=tables,
-            wants_word=bool(wants),
-        )
+        words = [_read_word(fields) for fields in unpacker]
+        whole = unpacker.tell() == len(data)
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
         msg = f"no word: {error}"
         raise ProtocolError(msg) from None
+    if not words or not whole:
+        msg = f"no whole words in {len(data)} bytes"
+        raise ProtocolError(msg)
+    return words
+
+
+def _read_word(fields: Any) -> BoxWord:  # noqa: ANN401 - checked here
+    if not isinstance(fields, list) or len(fields) < _WORD_FIELDS or fields[0] != _FORMAT:
+        msg = f"no word of format {_FORMAT}"
+        raise ProtocolError(msg)
+    reading, follows, wants = fields[8]
+    return BoxWord(
+        name=str(fields[1]),
+        place=str(fields[2]),
+        incarnation=int(fields[3]),
+        seq=int(fields[4]),
+        caller=str(fields[5]),
+        peer=str(fields[6]),
+        state=str(fields[7]),
+        reading=bool(reading),
+        follows=bool(follows),
+        in_flight=int(fields[9]),
+        boxes={str(place): int(count) for place, count in fields[11].items()},
+        tables={str(n): TableState(int(v), int(a)) for n, (v, a) in fields[10].items()},
+        wants_word=bool(wants),
+    )
 
 
 def pack_delta(delta: TableDelta, *, age_ms: int) -> dict[str, Any]:
--- a/dunlinnotch/transport/stream/peers.py
+++ b/dunlinnotch/transport/stream/peers.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import BoxWord, pack_delta, pack_word, unpack_delta, unpack_word
+from dunlinnotch.protocol.mesh import BoxWord, pack_delta, pack_words, unpack_delta, unpack_words
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -46,26 +46,28 @@
         self._transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """Take in a word; anything else is counted."""
+        """Take in words; anything else is counted."""
         try:
-            word = unpack_word(data)
+            words = unpack_words(data)
         except ProtocolError:
             self.bad += 1
             return
-        self._on_word(word)
+        for word in words:
+            self._on_word(word)
 
     def error_received(self, exc: Exception) -> None:
         """Do nothing: a peer that is not there is noticed by its silence."""
 
-    def send(self, word: BoxWord, to: Iterable[Address]) -> None:
-        """Send a word to some peers."""
+    def send(self, words: Iterable[BoxWord], to: Iterable[Address]) -> None:
+        """Send words to some peers."""
         if self._transport is None:
             return
-        data = pack_word(word)
+        datagrams = list(pack_words(words))
         for address in to:
             host, _, port = address.rpartition(":")
-            self._transport.sendto(data, (host, int(port)))
-            self.sent_bytes += len(data)
+            for data in datagrams:
+                self._transport.sendto(data, (host, int(port)))
+                self.sent_bytes += len(data)
 
 
 class TablePort:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -54,11 +54,12 @@
             peer="q",
             tables=[table],
             clock=asyncio.get_running_loop().time,
+            rng=random.Random(1),
         )
         mesh.state = RUNNING
         news = []
         follower = TableFollower(
-            table, source, mesh, on_news=lambda: news.append(table.version), rng=random.Random(1)
+            table, source, mesh, on_answer=lambda changed: changed and news.append(table.version), rng=random.Random(1)
         )
         task = asyncio.create_task(follower.run())
         try:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,186 @@
+"""Many boxes that each tell a few: what they send is bounded, what they know is not."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dunlinnotch.coordination.links import FULL_MESH, NEAR_MOST, Links
+from dunlinnotch.coordination.mesh import RUNNING, STALE_S, Mesh
+from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
+from tests.test_mesh import Clock
+
+PLACES = ("ikeja", "lekki", "surulere", "yaba")
+BEAT_S = 0.5
+SEEDS = 3
+
+
+class Boxes:
+    """Meshes joined by a network that loses a share of the words."""
+
+    def __init__(self, count, *, seed=1, lost=0.0):
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.lost = lost
+        self.tables = {}
+        self.meshes = {}
+        self.sent = 0
+        for number in range(count):
+            self._add(f"box-{number}", PLACES[number % len(PLACES)])
+
+    def _add(self, name, place):
+        table = FollowedTable("t", lambda _: None)
+        mesh = Mesh(
+            name=name,
+            place=place,
+            incarnation=1,
+            caller=f"{name}:1",
+            peer=name,
+            tables=[table],
+            clock=self.clock,
+            rng=self.rng,
+        )
+        mesh.state = RUNNING
+        self.tables[name] = table
+        self.meshes[name] = mesh
+
+    def send(self, words, peers):
+        """Deliver words; whoever is behind takes the table over and passes the news on."""
+        queue = [(words, peer) for peer in peers]
+        while queue:
+            words, peer = queue.pop(0)
+            self.sent += 1
+            if self.rng.random() < self.lost:
+                continue
+            mesh = self.meshes[peer]
+            for word in words:
+                new = not mesh.knows(word.name)
+                if not mesh.take(word):
+                    continue
+                if word.wants_word:
+                    back = [mesh.own_word(), *mesh.introductions(word.place)]
+                    queue.append((back, word.peer))
+                elif new:
+                    queue.append(([mesh.own_word()], word.peer))
+                if mesh.newer(word):
+                    self._fetch(peer, word.name)
+                    queue += [([mesh.own_word()], other) for other in mesh.to_tell_news()]
+
+    def _fetch(self, name, teller):
+        mine, theirs = self.tables[name], self.tables[teller]
+        mine.take(theirs.since(mine.version), at=theirs.verified_at)
+
+    def hello(self):
+        seeds = list(self.meshes)[:SEEDS]
+        for name, mesh in self.meshes.items():
+            self.send([mesh.own_word(wants_word=True)], [seed for seed in seeds if seed != name])
+
+    def beat(self):
+        self.clock.now += BEAT_S
+        for mesh in self.meshes.values():
+            self.tell(mesh, mesh.to_tell())
+
+    def tell(self, mesh, near):
+        word = mesh.own_word()
+        self.send([word], near)
+        self.send([word, *mesh.follower()], mesh.to_tell_far())
+
+    def write(self, version):
+        """Have the lead read a new version and tell it, as a reader does."""
+        lead = next(m for m in self.meshes.values() if m.is_lead())
+        row = TableRow("k", version, b"v")
+        self.tables[lead.name].take(TableDelta("t", version, True, (row,)), at=self.clock.now)
+        self.tell(lead, lead.to_tell_news())
+
+    def settled(self):
+        """Introduce all boxes and let them speak for a while."""
+        for _ in range(4):
+            self.hello()  # Until a seed has answered.
+            self.beat()
+        self.write(5)
+        for _ in range(3):
+            self.beat()
+        return self
+
+
+def near_names(boxes, mesh):
+    return {m.name for m in boxes.meshes.values() if m.place == mesh.place}
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.05])
+def test_every_box_knows_its_place_and_how_many_boxes_there_are(lost):
+    boxes = Boxes(142, lost=lost).settled()
+    for mesh in boxes.meshes.values():
+        known = {word.name for word in mesh.live() if word.place == mesh.place}
+        assert known | {mesh.name} == near_names(boxes, mesh)
+        assert mesh.most_boxes == 142
+        assert {word.place for word in mesh.others()} == set(PLACES)
+
+
+@pytest.mark.parametrize("lost", [0.0, 0.05])
+def test_news_reaches_every_box_within_two_turns(lost):
+    boxes = Boxes(142, lost=lost).settled()
+    boxes.write(6)
+    reached = sum(table.version == 6 for table in boxes.tables.values())
+    assert reached > 0.2 * 142
+    boxes.beat()
+    boxes.beat()
+    assert {table.version for table in boxes.tables.values()} == {6}
+
+
+def test_one_box_of_each_place_reads_and_one_of_them_leads():
+    boxes = Boxes(142).settled()
+    assert all(age < STALE_S for age in _ages(boxes))
+    readers = [m for m in boxes.meshes.values() if m.is_reader()]
+    assert sorted(m.place for m in readers) == sorted(PLACES)
+    assert [m.name for m in readers if m.is_lead()] == [min(m.name for m in readers)]
+
+
+def _ages(boxes):
+    return [mesh.age(boxes.tables[name]) for name, mesh in boxes.meshes.items()]
+
+
+@pytest.mark.parametrize("count", [20, 142, 250])
+def test_what_a_box_sends_in_a_turn_is_bounded(count):
+    boxes = Boxes(count).settled()
+    boxes.sent = 0
+    boxes.beat()
+    assert boxes.sent <= count * max(FULL_MESH, NEAR_MOST + 2 * len(PLACES))
+    most = max(len(mesh.to_tell() + mesh.to_tell_far()) for mesh in boxes.meshes.values())
+    assert most <= max(FULL_MESH, NEAR_MOST + 2 * len(PLACES))
+
+
+def test_few_boxes_tell_everybody():
+    boxes = Boxes(18).settled()
+    for mesh in boxes.meshes.values():
+        assert len(mesh.to_tell()) == 17
+        assert len(mesh.to_tell_news()) == 17
+        assert mesh.to_tell_far() == []
+
+
+def test_callers_of_a_place_are_sent_to_all_of_it_only_by_a_box_that_knows_it():
+    boxes = Boxes(142).settled()
+    mesh = boxes.meshes["box-77"]
+    own = mesh.offered(mesh.place)
+    assert sorted(own) == sorted(f"{name}:1" for name in near_names(boxes, mesh))
+    # Of another place a few are known: all its callers would go to those.
+    elsewhere = mesh.offered(next(place for place in PLACES if place != mesh.place))
+    assert set(own) < set(elsewhere)
+
+
+def test_a_word_told_on_is_as_old_as_it_is():
+    boxes = Boxes(40).settled()
+    seed, other = boxes.meshes["box-0"], boxes.meshes["box-4"]
+    seed.take(other.own_word())
+    before = boxes.tables["box-4"].verified_at
+    boxes.clock.now += 1.0
+    told = {word.name: word for word in seed.introductions(seed.place)}["box-4"]
+    assert told.tables["t"].age_ms == pytest.approx((boxes.clock.now - before) * 1000, abs=2)
+
+
+def test_introductions_name_those_who_follow_the_store():
+    words = [m.own_word() for m in Boxes(142).settled().meshes.values()]
+    chosen = Links("box-0", "ikeja", rng=random.Random(1)).introduced("ikeja", words)
+    assert {w.place for w in chosen if w.follows} == set(PLACES)
+    assert len(chosen) <= NEAR_MOST + 2 * (len(PLACES) - 1)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import replace
 
 import pytest
 
 from dunlinnotch.coordination.mesh import DRAINING, RUNNING, STALE_S, SUSPECT_S, Mesh
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import pack_delta, pack_word, unpack_delta, unpack_word
+from dunlinnotch.protocol.mesh import pack_delta, pack_words, unpack_delta, unpack_words
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
 
 
@@ -35,6 +36,7 @@
         peer=f"{name}:2",
         tables=[table],
         clock=clock,
+        rng=random.Random(1),
     )
     mesh.state = RUNNING
     return mesh, table
@@ -43,15 +45,15 @@
 def test_words_survive_the_datagram():
     mesh, _ = box("a", Clock())
     word = mesh.own_word(wants_word=True)
-    assert unpack_word(pack_word(word)) == word
+    assert [unpack_words(data) for data in pack_words([word, word])] == [[word, word]]
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x01", pack_word.__doc__.encode()]
+    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x01", pack_words.__doc__.encode()]
 )
 def test_noise_is_no_word(data):
     with pytest.raises(ProtocolError):
-        unpack_word(data)
+        unpack_words(data)
 
 
 def test_deltas_survive_the_stream():
