Start: boxes that start together leave the first reading to one of each place

Cause: a new box heard its seeds for 0.12 s and then read both tables itself, as a table that it had never read counted as stale; 142 boxes that start within 0.3 s made 284 calls at once, and 20 connections timed out.

Change: a box without tables reads at once only if it is the first of its place among those that it has heard; else it waits 0.6 to 1.2 s (drawn) for them to tell. Who has heard nobody waits up to 0.4 s longer before it takes itself for the first. tests/test_mesh.py shows it on two new boxes.

--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/mesh.py
@@ -34,6 +34,9 @@
 _LAST_RESORT_S = 20.0
 #: A table older than this, as far as a box can tell, is read by the box itself, in seconds.
 STALE_S = 2.2
+#: Shortest and longest time for which a new box leaves it to the readers of its place to
+#: tell it the tables, in seconds: boxes that start together must not all read the store.
+START_PATIENCE_S = (0.6, 1.2)
 
 _log = logging.getLogger(__name__)
 
@@ -86,6 +89,7 @@
         self._known: Counter[str] = Counter()
         self._place_boxes: dict[str, int] = {place: 1}
         self._links = Links(name, place, rng=rng)
+        self._patient_until = clock() + rng.uniform(*START_PATIENCE_S)
 
     def own_word(self, *, wants_word: bool = False) -> BoxWord:
         """Return a new word of this box."""
@@ -249,7 +253,12 @@
 
     def stale(self) -> bool:
         """Return whether some table is so old that this box must read for itself."""
-        return any(self.age(table) > STALE_S for table in self._tables.values())
+        patient = self._clock() < self._patient_until
+        return any(
+            self.age(table) > STALE_S
+            for table in self._tables.values()
+            if table.known or not patient
+        )
 
     def age(self, table: FollowedTable) -> Seconds:
         """Return the seconds since a table was known to be all that there is."""
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -43,8 +43,10 @@
 
 #: Time between two words of a box, in seconds.
 WORD_S = 0.5
-#: Time that a new box gives its peers to tell it their tables before it reads the store.
+#: Time that a new box gives its peers to tell it their tables before it reads the store,
+#: and up to how much more if it hears nobody: boxes that start together are not up at once.
 _HEAR_FIRST_S = 0.12
+_HEAR_ANYBODY_S = 0.4
 _FETCH_S = 1.0
 _LOOK_S = 0.05
 #: Connections that a target accepts are shared by at least so many boxes.
@@ -271,13 +273,17 @@
 
     async def _hear_peers(self) -> None:
         """Ask the seeds for what they know before reading the store."""
-        until = self._loop.time() + _HEAR_FIRST_S
-        while self._loop.time() < until:
+        began = self._loop.time()
+        alone = _HEAR_ANYBODY_S * self._rng.random() if self._seeds() else 0.0
+        while True:
             self._words.send([self.mesh.own_word(wants_word=True)], self._seeds())
             for _ in range(4):
                 await asyncio.sleep(_LOOK_S / 5)
                 if all(table.known for table in self.tables.values()):
                     return
+            wait = _HEAR_FIRST_S + (0.0 if self.mesh.live() else alone)
+            if self._loop.time() - began >= wait:
+                return
 
     def _seeds(self) -> list[Address]:
         return [seed for seed in self._settings.seeds if seed != self._settings.peer]
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -90,7 +90,9 @@
     def aged(self, by: Seconds) -> BoxWord:
         """Return the word as it is to be told on ``by`` seconds after it was heard."""
         tables = {
-            name: state if state.age_ms < 0 else replace(state, age_ms=state.age_ms + int(by * 1000))
+            name: state
+            if state.age_ms < 0
+            else replace(state, age_ms=state.age_ms + int(by * 1000))
             for name, state in self.tables.items()
         }
         return replace(self, tables=tables, wants_word=False)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -59,7 +59,11 @@
         mesh.state = RUNNING
         news = []
         follower = TableFollower(
-            table, source, mesh, on_answer=lambda changed: changed and news.append(table.version), rng=random.Random(1)
+            table,
+            source,
+            mesh,
+            on_answer=lambda changed: changed and news.append(table.version),
+            rng=random.Random(1),
         )
         task = asyncio.create_task(follower.run())
         try:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,7 +7,14 @@
 
 import pytest
 
-from dunlinnotch.coordination.mesh import DRAINING, RUNNING, STALE_S, SUSPECT_S, Mesh
+from dunlinnotch.coordination.mesh import (
+    DRAINING,
+    RUNNING,
+    STALE_S,
+    START_PATIENCE_S,
+    SUSPECT_S,
+    Mesh,
+)
 from dunlinnotch.errors import ProtocolError
 from dunlinnotch.protocol.mesh import pack_delta, pack_words, unpack_delta, unpack_words
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
@@ -112,6 +119,21 @@
     assert idle.is_reader()
 
 
+def test_a_new_box_leaves_reading_to_another_of_its_place_for_a_while():
+    clock = Clock()
+    (first, _), (second, _) = box("a", clock, version=0), box("b", clock, version=0)
+    for mesh in (first, second):
+        mesh.take(second.own_word())
+        mesh.take(first.own_word())
+    assert [mesh.is_reader() for mesh in (first, second)].count(True) == 1
+    clock.now += START_PATIENCE_S[1]
+    for mesh in (first, second):
+        mesh.take(second.own_word())
+        mesh.take(first.own_word())
+    assert first.is_reader()
+    assert second.is_reader()
+
+
 def test_a_peer_s_word_makes_knowledge_fresh_only_where_it_is_as_new():
     clock = Clock()
     (teller, told), (mesh, table) = box("a", clock, version=5), box("b", clock, version=4)
