Experiments with real boxes, a proxy on each link and a referee; fault soak by seeds

dunlinnotch lab run, soak and compare. The pieces that speak the users' words stand beside the other stand-ins (box process, caller, operator's document); the demo uses them now instead of its own.

--- a/demo/users.py
+++ b/demo/users.py
@@ -8,98 +8,21 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
-import subprocess
-import sys
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.standins.users.box import BoxProcess, until
+from dunlinnotch.standins.users.operator import RoutePlan, operator_document
 from dunlinnotch.standins.users.store import StoreStandin
 from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
-from dunlinnotch.transport.stream.fetch import Fetcher
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from pathlib import Path
 
-_READY_S = 20.0
 _CALL_S = 5.0
 _HOST = "catalogue.example"
-_CALLER_PORT, _READY_PORT, _CONTROL_PORT, _DIRECTORY_PORT = 8144, 8140, 8146, 8143
-FIGURES_PORT = 9464
-
-
-class UsersBox:
-    """One box process.
-
-    Parameters
-    ----------
-    name, zone, ip : str
-    log : Path
-        Gets its standard output.
-    """
-
-    def __init__(self, name: str, zone: str, ip: str, log: Path) -> None:
-        self.name = name
-        self.zone = zone
-        self.ip = ip
-        self.log = log
-        self.settings = log.with_suffix(".conf")
-        self.process: subprocess.Popen[bytes] | None = None
-        self.caller = f"{ip}:{_CALLER_PORT}"
-        self.readiness = f"{ip}:{_READY_PORT}"
-        self.directory = f"{ip}:{_DIRECTORY_PORT}"
-        self.figures = f"{ip}:{FIGURES_PORT}"
-
-    def write_settings(self, store: str, seeds: list[str], **changes: str) -> None:
-        """Write the settings file as the platform does."""
-        fields = {
-            "self.node-name": self.name,
-            "self.zone": self.zone,
-            "self.ip": self.ip,
-            "network.bind.front": self.caller,
-            "network.bind.readiness": self.readiness,
-            "network.bind.control": f"{self.ip}:{_CONTROL_PORT}",
-            "network.bind.directory": self.directory,
-            "network.internal-port-range": "7660,7675",
-            "network.seeds": ",".join(f"{seed}:{_CONTROL_PORT}" for seed in seeds),
-            "platform.platform.address": store,
-            "terms.bounds.grace": "2s",
-            "terms.bounds.probes-per-s": "6000",
-            **changes,
-        }
-        text = "".join(f"{name}={value}\n" for name, value in fields.items())
-        self.settings.write_text(text, encoding="utf-8")
-
-    def start(self) -> None:
-        """Start the process."""
-        environment = {**os.environ, "DUNLINNOTCH_NODE_FILE": str(self.settings)}
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "dunlinnotch.platform"],
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env=environment,
-            )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    async def ended(self) -> int:
-        """Wait for the end of the process; return its status."""
-        process = self.process
-        assert process is not None
-        await until(lambda: process.poll() is not None, f"{self.name} has ended")
-        return process.returncode
-
-    def events(self) -> str:
-        """Return what the process has logged."""
-        return self.log.read_text(encoding="utf-8")
 
 
 class UsersFleet:
@@ -117,7 +40,7 @@
         self._net = f"127.{rng.randrange(1, 255)}.{rng.randrange(255)}"
         self.store = StoreStandin()
         self.workers: list[WorkerStandin] = []
-        self.boxes: list[UsersBox] = []
+        self.boxes: list[BoxProcess] = []
         self._count = 0
 
     async def __aenter__(self) -> UsersFleet:
@@ -128,9 +51,8 @@
     async def __aexit__(self, *_: object) -> None:
         """Stop everything that was started here."""
         for box in self.boxes:
-            if box.process is not None and box.process.poll() is None:
-                box.process.kill()
-                box.process.wait()
+            if box.running:
+                box.kill()
         for worker in self.workers:
             await worker.close()
         await self.store.close()
@@ -143,36 +65,23 @@
         self.store.put("servers", worker.instance, worker.row(service, zone="hall-a"))
         return worker
 
-    def make_box(self, zone: str = "hall-a") -> UsersBox:
+    def make_box(self, zone: str = "hall-a") -> BoxProcess:
         """Return a box with its settings file written, not started."""
         number = len(self.boxes) + 1
         name = f"front-{number}"
-        box = UsersBox(name, zone, f"{self._net}.{number}", self._directory / f"{name}.log")
+        box = BoxProcess(name, zone, f"{self._net}.{number}", self._directory / f"{name}.log")
         self.boxes.append(box)
         box.write_settings(self.store.address, [f"{self._net}.1"])
         return box
 
-    async def start_box(self) -> UsersBox:
+    async def start_box(self) -> BoxProcess:
         """Start a box and wait until it is ready."""
         box = self.make_box()
         box.start()
-        await self.wait_ready(box)
+        await box.wait_ready()
         return box
 
-    async def wait_ready(self, box: UsersBox, *, status: int = 200) -> None:
-        """Wait until a box's readiness has a status."""
-        async with asyncio.timeout(_READY_S):
-            while await self.status_of(box.readiness, "/api/readiness") != status:
-                await asyncio.sleep(0.02)
-
-    async def status_of(self, address: str, path: str) -> int:
-        """Return the status of one answer; 0 if there was none."""
-        try:
-            return (await Fetcher(address).fetch("GET", path, timeout=_CALL_S)).status
-        except PlatformUnavailableError:
-            return 0
-
-    async def call(self, box: UsersBox, path: str, *, method: str = "GET") -> tuple[int, bytes]:
+    async def call(self, box: BoxProcess, path: str, *, method: str = "GET") -> tuple[int, bytes]:
         """Send one request to a box; return status and body."""
         self._count += 1
         host, _, port = box.caller.rpartition(":")
@@ -194,40 +103,11 @@
 
 def document(version: int, service: str) -> dict[str, Any]:
     """Return an operator's document with one safe and one unsafe route."""
-    common = {
-        "host": _HOST,
-        "timeout": "4s",
-        "target-latency": "1s",
-        "max-attempts": 3,
-        "priority": 1,
-        "service": service,
-    }
-    return {
-        "version": f"r{version}",
-        "routes": [
-            {"name": "lookup", "path-prefix": "/lookup/", "route-type": "safe", **common},
-            {"name": "loan", "path-prefix": "/loan/", "route-type": "unsafe", **common},
-        ],
-        "services": [{"name": n, "health-path": "/health"} for n in ("holdings", "ingest")],
-        "limits": {},
-    }
-
-
-async def until(condition: Callable[[], bool], what: str) -> None:
-    """Wait until a condition holds.
-
-    Raises
-    ------
-    TimeoutError
-        Names what was waited for.
-    """
-    try:
-        async with asyncio.timeout(_READY_S):
-            while not condition():
-                await asyncio.sleep(0.02)
-    except TimeoutError:
-        msg = f"not within {_READY_S} s: {what}"
-        raise TimeoutError(msg) from None
+    routes = [
+        RoutePlan("lookup", "/lookup/", service, "safe"),
+        RoutePlan("loan", "/loan/", service, "unsafe"),
+    ]
+    return operator_document(version, host=_HOST, routes=routes, services=["holdings", "ingest"])
 
 
 async def _show(directory: Path) -> int:
@@ -239,7 +119,7 @@
         first, second = await fleet.start_box(), await fleet.start_box()
         names = {w.instance: f"worker-{n}" for n, w in enumerate(fleet.workers, 1)}
 
-        async def calls(title: str, box: UsersBox) -> Counter[str]:
+        async def calls(title: str, box: BoxProcess) -> Counter[str]:
             results = [
                 await fleet.call(box, "/lookup/x" if n % 3 else "/loan/x", method="GET")
                 for n in range(40)
@@ -266,7 +146,7 @@
             await until(lambda box=box: "target-leaving" in box.events(), "target leaves")  # type: ignore[misc]
         lost += "worker-1" in await calls("moved back, worker-1 leaving", first)
         first.send_signal(signal.SIGTERM)
-        await fleet.wait_ready(first, status=503)
+        await first.wait_ready(status=503)
         await calls("front-1 is asked to stop", second)
         status = await first.ended()
         print(f"   front-1 ended with status {status}")
--- a/dunlinnotch/cli/__main__.py
+++ b/dunlinnotch/cli/__main__.py
@@ -6,7 +6,7 @@
 
 from cleo.application import Application
 
-from dunlinnotch.cli import moves, settings
+from dunlinnotch.cli import lab, moves, settings
 
 COMMANDS = (
     settings.SettingsShow,
@@ -27,6 +27,9 @@
     moves.ShowStatus,
     moves.LogLevel,
     moves.CheckFile,
+    lab.LabRun,
+    lab.LabSoak,
+    lab.LabCompare,
 )
 
 
--- /dev/null
+++ b/dunlinnotch/cli/lab.py
@@ -0,0 +1,143 @@
+"""Commands that play days of experiments on stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import tempfile
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from dunlinnotch.cli.common import Exit
+from dunlinnotch.errors import ConfigError
+from dunlinnotch.lab.day import Day, read_day
+from dunlinnotch.lab.draw import draw_day
+from dunlinnotch.lab.report import DayResult, as_text, compare, load_result
+from dunlinnotch.lab.run import play
+
+_SOAK_MOST = 500
+
+
+class LabCommand(Command):
+    """A command that plays days."""
+
+    def handle(self) -> int:
+        """Run the command; bad input becomes an exit status."""
+        try:
+            return int(self.act())
+        except ConfigError as error:
+            self.line_error(f"<error>{error.code}</error>: {error}")
+            return Exit.INVALID
+
+    def act(self) -> Exit:
+        """Do the command's work."""
+        raise NotImplementedError
+
+    def play(self, day: Day, logs: Path) -> DayResult:
+        """Play one day and show how far it is."""
+        logs.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(play(day, logs, progress=self.line_error))
+
+    def whole(self, name: str, default: int, *, most: int) -> int:
+        """Return an option that is a whole number.
+
+        Raises
+        ------
+        ConfigError
+        """
+        value = self.option(name)
+        if value is None:
+            return default
+        if not str(value).isdigit() or int(value) > most:
+            msg = f"--{name} {value}: allowed is a whole number from 0 to {most}"
+            raise ConfigError(msg)
+        return int(value)
+
+
+class LabRun(LabCommand):
+    """Play one day."""
+
+    name = "lab run"
+    description = "Play a day: real boxes, stand-ins of store, targets and callers, troubles"
+    help = "Example: <info>dunlinnotch lab run day.toml --logs logs --save result.json</info>"
+    arguments: ClassVar[list[Any]] = [
+        argument("day", "TOML file of the day; left out: the day of --seed", optional=True)
+    ]
+    options: ClassVar[list[Any]] = [
+        option("seed", None, "Draw the day by this seed", flag=False),
+        option("logs", None, "Folder for the boxes' logs (default: thrown away)", flag=False),
+        option("save", None, "File for the result, for lab compare", flag=False),
+    ]
+
+    def act(self) -> Exit:
+        """Play the day; return FAILED if a promise was broken."""
+        file = self.argument("day")
+        seed = self.whole("seed", 1, most=2**63)
+        day = draw_day(seed) if file is None else read_day(Path(file))
+        with tempfile.TemporaryDirectory() as folder:
+            result = self.play(day, Path(self.option("logs") or folder))
+        self.line(as_text(result))
+        if self.option("save"):
+            result.save(Path(self.option("save")))
+        return Exit.FAILED if result.findings else Exit.OK
+
+
+class LabSoak(LabCommand):
+    """Play days of fresh seeds."""
+
+    name = "lab soak"
+    description = "Play drawn days one after the other; keep the logs of those that broke a promise"
+    help = "Example: <info>dunlinnotch lab soak --days 20 --keep soak</info>"
+    options: ClassVar[list[Any]] = [
+        option("days", None, "How many days (default: 10)", flag=False),
+        option("seed", None, "First seed (default: drawn anew)", flag=False),
+        option("keep", None, "Folder for logs and results (default: soak)", flag=False),
+    ]
+
+    def act(self) -> Exit:
+        """Play the days; return FAILED if any broke a promise."""
+        days = self.whole("days", 10, most=_SOAK_MOST)
+        first = self.whole("seed", secrets.randbelow(2**31), most=2**63)
+        keep = Path(self.option("keep") or "soak")
+        broken = []
+        for seed in range(first, first + days):
+            day = draw_day(seed)
+            kinds = ", ".join(f"{t.kind.value} at {t.at:g} s" for t in day.troubles)
+            with tempfile.TemporaryDirectory() as folder:
+                result = self.play(day, Path(folder))
+                self.line(f"{day.name}: {len(result.findings)} broken promises ({kinds})")
+                if result.findings:
+                    broken.append(seed)
+                    self._keep(result, Path(folder), keep / day.name)
+        self.line(f"{days} days from seed {first}; broke a promise: {broken or 'none'}")
+        return Exit.FAILED if broken else Exit.OK
+
+    def _keep(self, result: DayResult, logs: Path, where: Path) -> None:
+        where.mkdir(parents=True, exist_ok=True)
+        result.save(where / "result.json")
+        for log in logs.glob("*.log"):
+            (where / log.name).write_bytes(log.read_bytes())
+        for finding in result.findings:
+            self.line(f"  {finding}")
+        self.line(f"  logs and result are in {where}")
+
+
+class LabCompare(LabCommand):
+    """Compare two results."""
+
+    name = "lab compare"
+    description = "Set two saved results side by side"
+    help = "Example: <info>dunlinnotch lab compare before.json after.json</info>"
+    arguments: ClassVar[list[Any]] = [
+        argument("first", "Result of a day"),
+        argument("second", "Result of a day"),
+    ]
+
+    def act(self) -> Exit:
+        """Print the comparison."""
+        first, second = (load_result(Path(self.argument(n))) for n in ("first", "second"))
+        self.line(compare(first, second))
+        return Exit.OK
--- /dev/null
+++ b/dunlinnotch/lab/draw.py
@@ -0,0 +1,67 @@
+"""Draw days by a seed: another mix of troubles each time, the same for the same seed."""
+
+from __future__ import annotations
+
+import random
+
+from dunlinnotch.lab.day import Day, KindPlan, ServicePlan, TroubleKind, TroublePlan
+
+_LENGTH_S = 16.0
+#: Troubles begin between these moments of the day, in seconds.
+_FIRST_S, _LAST_S = 1.0, 9.0
+_TROUBLES = (2, 5)
+_STRENGTH = {
+    TroubleKind.BURST: (1.3, 2.0),
+    TroubleKind.TARGET_SLOW: (3.0, 12.0),
+    TroubleKind.ANSWER_LOST: (0.02, 0.3),
+    TroubleKind.ANSWER_CUT: (0.02, 0.3),
+    TroubleKind.ANSWER_TWICE: (0.02, 0.3),
+    TroubleKind.STORE_SLOW: (0.05, 0.5),
+}
+
+
+def draw_day(seed: int) -> Day:
+    """Return the day of a seed.
+
+    Parameters
+    ----------
+    seed : int
+    """
+    rng = random.Random(seed)
+    count = rng.randint(*_TROUBLES)
+    kinds = rng.sample(list(TroubleKind), count)
+    return Day(
+        name=f"drawn-{seed}",
+        seed=seed,
+        length_s=_LENGTH_S,
+        boxes=rng.randint(4, 8),
+        services=(
+            ServicePlan(name="records", targets=rng.randint(6, 10), slots=rng.choice((3, 6))),
+            ServicePlan(name="uploads", targets=rng.randint(2, 4), slots=rng.choice((3, 6))),
+        ),
+        kinds=(
+            KindPlan(name="lookup", service="records", repeatable=True, per_s=60, rank=2),
+            KindPlan(name="payment", service="records", repeatable=False, per_s=30),
+            KindPlan(name="upload", service="uploads", repeatable=False, per_s=10, work_ms=30),
+            KindPlan(
+                name="check",
+                service="uploads",
+                also="records",
+                repeatable=True,
+                per_s=20,
+                work_ms=10,
+                target_latency_ms=100,
+            ),
+        ),
+        troubles=tuple(_draw_trouble(kind, rng) for kind in kinds),
+    )
+
+
+def _draw_trouble(kind: TroubleKind, rng: random.Random) -> TroublePlan:
+    return TroublePlan(
+        kind=kind,
+        at=round(rng.uniform(_FIRST_S, _LAST_S), 2),
+        for_s=round(rng.uniform(0.5, 5.0), 2),
+        share=round(rng.uniform(0.1, 0.6), 2),
+        x=round(rng.uniform(*_STRENGTH.get(kind, (1.0, 2.0))), 2),
+    )
--- /dev/null
+++ b/dunlinnotch/lab/fleet.py
@@ -0,0 +1,224 @@
+"""What an experiment runs: a store, targets, boxes, and a proxy on each link."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from dunlinnotch.lab.link import FaultyLink
+from dunlinnotch.standins.users.box import BoxProcess
+from dunlinnotch.standins.users.operator import RoutePlan, operator_document
+from dunlinnotch.standins.users.store import StoreStandin
+from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from dunlinnotch.lab.day import Day, KindPlan, ServicePlan
+    from dunlinnotch.types import Address, Seconds
+
+HOST = "lab.example"
+_SEEDS = 3
+_MS = 1000.0
+#: A target is told of as gone once it has ended; it serves so long after its leaving is
+#: known, beyond the bound of the day, in seconds.
+_SERVES_ON_S = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Target:
+    """One target with the link that all boxes reach it by."""
+
+    worker: WorkerStandin
+    link: FaultyLink
+    service: str
+    place: str
+    sequence: int = 1
+    leaving_at: Seconds | None = None
+
+
+class Fleet:
+    """A day's boxes, targets and store; use it as an asynchronous context.
+
+    Parameters
+    ----------
+    day : Day
+    directory : Path
+        For settings files and logs.
+
+    Attributes
+    ----------
+    moved_at : dict of str to list of (float, str)
+        For each kind, when it went to which service.
+    ended : list of Target
+        Targets that have ended.
+    """
+
+    def __init__(self, day: Day, directory: Path) -> None:
+        self.day = day
+        self.rng = random.Random(day.seed)
+        net = random.SystemRandom()
+        self._net = f"127.{net.randrange(1, 255)}.{net.randrange(255)}"
+        self._directory = directory
+        self._loop = asyncio.get_running_loop()
+        self.store = StoreStandin()
+        self.boxes: list[BoxProcess] = []
+        self.store_links: dict[str, FaultyLink] = {}
+        self.targets: list[Target] = []
+        self.ended: list[Target] = []
+        self.services: dict[str, str] = {kind.name: kind.service for kind in day.kinds}
+        self.moved_at: dict[str, list[tuple[Seconds, str]]] = {k.name: [] for k in day.kinds}
+        self._version = 0
+
+    async def __aenter__(self) -> Fleet:
+        """Start everything and wait until the boxes serve."""
+        await self.store.start()
+        self.write_settings()
+        for service in self.day.services:
+            for number in range(service.targets):
+                place = self.day.places[number % len(self.day.places)]
+                await self.add_target(service, place)
+        seeds = [f"{self._net}.{n}" for n in range(1, min(_SEEDS, self.day.boxes) + 1)]
+        for number in range(1, self.day.boxes + 1):
+            await self._add_box(number, seeds)
+        for box in self.boxes:
+            box.start()
+        try:
+            await asyncio.gather(*(box.wait_ready() for box in self.boxes))
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything that was started here."""
+        for box in self.boxes:
+            if box.running:
+                box.send_signal(signal.SIGCONT)
+                box.kill()
+        for target in (*self.targets, *self.ended):
+            await target.link.close()
+            await target.worker.close()
+        for link in self.store_links.values():
+            await link.close()
+        await self.store.close()
+
+    # -- boxes
+
+    async def _add_box(self, number: int, seeds: list[str]) -> None:
+        name = f"box-{number}"
+        place = self.day.places[(number - 1) % len(self.day.places)]
+        box = BoxProcess(name, place, f"{self._net}.{number}", self._directory / f"{name}.log")
+        link = FaultyLink(self.store.address)
+        box.write_settings(
+            await link.start(),
+            seeds,
+            **{
+                "terms.bounds.grace": f"{self.day.bounds.grace:g}s",
+                "terms.bounds.probes-per-s": f"{self.day.bounds.probes_per_s:g}",
+            },
+        )
+        self.store_links[name] = link
+        self.boxes.append(box)
+
+    def directories(self, place: str) -> list[Address]:
+        """Return where a caller asks which boxes to use, nearer ones first."""
+        near = [box.directory for box in self.boxes if box.zone == place]
+        far = [box.directory for box in self.boxes if box.zone != place]
+        self.rng.shuffle(near)
+        self.rng.shuffle(far)
+        return near + far
+
+    # -- targets
+
+    async def add_target(self, service: ServicePlan, place: str) -> Target:
+        """Start a target and have it listed."""
+        settings = WorkerSettings(
+            slots=service.slots, queue=service.queue, work_of=self._work_of, tells_load=True
+        )
+        worker = WorkerStandin(settings)
+        await worker.start()
+        target = Target(worker, FaultyLink(worker.address), service.name, place)
+        await target.link.start()
+        self.targets.append(target)
+        self._list(target, "ready")
+        return target
+
+    def announce_leaving(self, target: Target) -> None:
+        """Have a target say that it leaves."""
+        target.sequence += 1
+        target.leaving_at = self._loop.time()
+        self._list(target, "draining")
+
+    async def end_target(self, target: Target) -> None:
+        """End a target; what it ran is kept for the referee."""
+        self.targets.remove(target)
+        self.ended.append(target)
+        self.store.remove("servers", target.worker.instance)
+        await target.link.close()
+        await target.worker.close()
+
+    async def release(self, target: Target) -> None:
+        """Have a target leave as planned, and another take its place."""
+        plan = next(s for s in self.day.services if s.name == target.service)
+        await self.add_target(plan, target.place)
+        self.announce_leaving(target)
+        await asyncio.sleep(self.day.bounds.drain + _SERVES_ON_S)
+        while target.worker.busy:
+            await asyncio.sleep(_SERVES_ON_S / 10)
+        await self.end_target(target)
+
+    def _list(self, target: Target, state: str) -> None:
+        row = target.worker.row(
+            target.service,
+            zone=target.place,
+            state=state,
+            sequence=target.sequence,
+            address=target.link.address,
+        )
+        self.store.put("servers", target.worker.instance, row)
+
+    def _work_of(self, path: str) -> float:
+        kind = next((k for k in self.day.kinds if path.startswith(prefix_of(k))), None)
+        if kind is None:
+            return 0.0
+        return kind.work_ms / _MS * self.rng.uniform(0.7, 1.3)
+
+    # -- settings
+
+    def move(self, kind: str, service: str) -> None:
+        """Send a kind to another service from now on."""
+        self.services[kind] = service
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write the next version of the settings."""
+        self._version += self.rng.randint(1, 3)
+        routes = [
+            RoutePlan(
+                kind.name,
+                prefix_of(kind),
+                self.services[kind.name],
+                "safe" if kind.repeatable else "unsafe",
+                target_latency_ms=kind.target_latency_ms,
+                timeout_ms=kind.deadline_ms,
+                priority=kind.rank,
+            )
+            for kind in self.day.kinds
+        ]
+        services = [service.name for service in self.day.services]
+        document = operator_document(self._version, host=HOST, routes=routes, services=services)
+        self.store.put("op", "config", document)
+        now = self._loop.time()
+        for name, service in self.services.items():
+            moves = self.moved_at[name]
+            if not moves or moves[-1][1] != service:
+                moves.append((now, service))
+
+
+def prefix_of(kind: KindPlan) -> str:
+    """Return the path prefix of a kind."""
+    return f"/{kind.name}/"
--- /dev/null
+++ b/dunlinnotch/lab/report.py
@@ -0,0 +1,184 @@
+"""What a day came to: a table for people, JSON for comparing."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field
+from typing import TYPE_CHECKING
+
+from dunlinnotch.errors import ConfigError
+from dunlinnotch.standins.users.caller import PROMISES, AttemptOutcome
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from dunlinnotch.lab.referee import Evidence, Finding
+    from dunlinnotch.standins.users.caller import AttemptRecord
+
+_SECOND_S = 1.0
+
+
+@dataclass(slots=True)
+class KindResult:
+    """Requests of one kind; times in milliseconds, from the first attempt to success.
+
+    Parameters
+    ----------
+    asked, in_time, late, refused, failed : int
+        ``in_time`` are those served within the target latency.
+    """
+
+    kind: str
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    p50: float = 0.0
+    p99: float = 0.0
+
+
+@dataclass(slots=True)
+class DayResult:
+    """All that is kept of a day."""
+
+    name: str
+    seed: int
+    kinds: list[KindResult]
+    findings: list[str]
+    probes: int
+    store_calls: int
+    attempts: int
+    served_by_second: list[int] = field(default_factory=list)
+    asked_by_second: list[int] = field(default_factory=list)
+    p99_by_second: list[float] = field(default_factory=list)
+
+    def save(self, path: Path) -> None:
+        """Write the result as JSON."""
+        path.write_text(json.dumps(asdict(self), indent=1), encoding="utf-8")
+
+
+def load_result(path: Path) -> DayResult:
+    """Read a result that was saved.
+
+    Raises
+    ------
+    ConfigError
+    """
+    try:
+        plain = json.loads(path.read_text(encoding="utf-8"))
+        plain["kinds"] = [KindResult(**kind) for kind in plain["kinds"]]
+        return DayResult(**plain)
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        msg = f"{path}: no result of a day: {error!r}"
+        raise ConfigError(msg) from None
+
+
+def summarise(evidence: Evidence, findings: Sequence[Finding], *, store_calls: int) -> DayResult:
+    """Return the result of a day."""
+    requests: dict[int, list[AttemptRecord]] = {}
+    for attempt in evidence.attempts:
+        requests.setdefault(attempt.request, []).append(attempt)
+    result = DayResult(
+        name=evidence.day.name,
+        seed=evidence.day.seed,
+        kinds=[],
+        findings=[f"{f.promise.value}: {f.subject}: {f.detail}" for f in findings],
+        probes=sum(target.worker.probes for target in evidence.targets),
+        store_calls=store_calls,
+        attempts=len(evidence.attempts),
+    )
+    for kind in evidence.day.kinds:
+        own = [r for r in requests.values() if r[0].kind == kind.name]
+        result.kinds.append(_kind_result(kind.name, own, kind.target_latency_ms))
+    _by_second(result, evidence, list(requests.values()))
+    return result
+
+
+def _kind_result(name: str, requests: list[list[AttemptRecord]], aim_ms: float) -> KindResult:
+    result = KindResult(name, asked=len(requests))
+    times = []
+    for attempts in requests:
+        last = attempts[-1]
+        if last.succeeded:
+            took = _took_ms(attempts)
+            times.append(took)
+            result.in_time += took <= aim_ms
+            result.late += took > aim_ms
+        elif last.outcome is AttemptOutcome.ANSWERED and last.status in PROMISES:
+            result.refused += 1
+        else:
+            result.failed += 1
+    result.p50, result.p99 = _quantile(times, 0.5), _quantile(times, 0.99)
+    return result
+
+
+def _took_ms(attempts: list[AttemptRecord]) -> float:
+    return (attempts[-1].ended - attempts[0].sent) * 1000
+
+
+def _quantile(times: list[float], part: float) -> float:
+    ordered = sorted(times)
+    return round(ordered[min(len(ordered) - 1, int(len(ordered) * part))], 1) if ordered else 0.0
+
+
+def _by_second(result: DayResult, evidence: Evidence, requests: list[list[AttemptRecord]]) -> None:
+    seconds = int((evidence.ended - evidence.began) / _SECOND_S) + 1
+    times: list[list[float]] = [[] for _ in range(seconds)]
+    asked = [0] * seconds
+    for attempts in requests:
+        second = int((attempts[0].sent - evidence.began) / _SECOND_S)
+        if 0 <= second < seconds:
+            asked[second] += 1
+            if attempts[-1].succeeded:
+                times[second].append(_took_ms(attempts))
+    result.asked_by_second = asked
+    result.served_by_second = [len(t) for t in times]
+    result.p99_by_second = [_quantile(t, 0.99) for t in times]
+
+
+def as_text(result: DayResult) -> str:
+    """Return a result as a table."""
+    lines = [
+        f"{result.name} (seed {result.seed}): {result.attempts} attempts, "
+        f"{result.probes} probes, {result.store_calls} calls to the store",
+        f"{'kind':<14}{'asked':>8}{'in time':>9}{'late':>7}{'refused':>9}{'failed':>8}"
+        f"{'p50 ms':>9}{'p99 ms':>9}",
+    ]
+    lines += [
+        f"{k.kind:<14}{k.asked:>8}{k.in_time:>9}{k.late:>7}{k.refused:>9}{k.failed:>8}"
+        f"{k.p50:>9.1f}{k.p99:>9.1f}"
+        for k in result.kinds
+    ]
+    lines.append(f"broken promises: {len(result.findings)}")
+    lines += [f"  {finding}" for finding in result.findings]
+    return "\n".join(lines)
+
+
+def compare(first: DayResult, second: DayResult) -> str:
+    """Return two results side by side."""
+    lines = [f"{'kind':<14}{'figure':<9}{first.name:>16}{second.name:>16}{'change':>9}"]
+    others = {kind.kind: kind for kind in second.kinds}
+    for kind in first.kinds:
+        other = others.get(kind.kind)
+        if other is None:
+            lines.append(f"{kind.kind:<14}not in {second.name}")
+            continue
+        for name, one, two in (
+            ("in time", _share(kind), _share(other)),
+            ("p50 ms", kind.p50, other.p50),
+            ("p99 ms", kind.p99, other.p99),
+        ):
+            lines.append(f"{kind.kind:<14}{name:<9}{one:>16.2f}{two:>16.2f}{two - one:>+9.2f}")
+    for name, one, two in (
+        ("probes", first.probes, second.probes),
+        ("store calls", first.store_calls, second.store_calls),
+        ("broken promises", len(first.findings), len(second.findings)),
+    ):
+        lines.append(f"{name:<23}{one:>16}{two:>16}{two - one:>+9}")
+    return "\n".join(lines)
+
+
+def _share(kind: KindResult) -> float:
+    return kind.in_time / max(1, kind.asked)
--- /dev/null
+++ b/dunlinnotch/lab/troubles.py
@@ -0,0 +1,239 @@
+"""Cause each trouble of a day at its time, and end it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import signal
+from typing import TYPE_CHECKING, TypeVar
+
+from dunlinnotch.lab.day import TroubleKind
+from dunlinnotch.lab.link import LinkState
+from dunlinnotch.lab.referee import Window
+from dunlinnotch.standins.users.store import StoreFault
+from dunlinnotch.standins.users.worker import WorkerFault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine, Sequence
+
+    from dunlinnotch.lab.day import TroublePlan
+    from dunlinnotch.lab.fleet import Fleet, Target
+    from dunlinnotch.standins.users.box import BoxProcess
+
+_T = TypeVar("_T")
+
+_USUAL_SLOWNESS = 100
+#: A listed target disappears after three heartbeats without a word, in seconds.
+_UNLISTED_S = 4.5
+_STORM_VERSIONS, _STORM_GAP_S = 10, 0.1
+#: Time between two boxes that are asked to stop one after the other, in seconds.
+_STOP_GAP_S = 1.0
+
+
+class Troubles:
+    """The troubles of one day.
+
+    Parameters
+    ----------
+    fleet : Fleet
+
+    Attributes
+    ----------
+    windows : list of Window
+        What was wrong when; grows as the day goes on.
+    load : float
+        How many times the usual requests callers send now.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(fleet.day.seed + 1)
+        self._loop = asyncio.get_running_loop()
+        self.windows: list[Window] = []
+        self.load = 1.0
+        self._how: dict[TroubleKind, Callable[[TroublePlan], Coroutine[None, None, None]]] = {
+            TroubleKind.BURST: self._burst,
+            TroubleKind.TARGET_SLOW: self._slow_targets,
+            TroubleKind.TARGET_CRASH: self._crash_targets,
+            TroubleKind.TARGET_SILENT: self._cut_targets,
+            TroubleKind.TARGET_RESET: self._cut_targets,
+            TroubleKind.ANSWER_LOST: self._spoil_answers,
+            TroubleKind.ANSWER_CUT: self._spoil_answers,
+            TroubleKind.ANSWER_TWICE: self._spoil_answers,
+            TroubleKind.HEALTH_LIES: self._lie,
+            TroubleKind.RELEASE: self._release,
+            TroubleKind.BOX_KILL: self._kill_boxes,
+            TroubleKind.BOX_FREEZE: self._freeze_boxes,
+            TroubleKind.BOX_STOP: self._stop_boxes,
+            TroubleKind.STORE_DOWN: self._store_down,
+            TroubleKind.STORE_SLOW: self._store_slow,
+            TroubleKind.STORE_SILENT: self._cut_store,
+            TroubleKind.STORE_RESET: self._cut_store,
+            TroubleKind.STORE_FORGETS: self._forget,
+            TroubleKind.SETTINGS_MOVE: self._move,
+            TroubleKind.SETTINGS_STORM: self._storm,
+        }
+
+    async def cause(self, plan: TroublePlan) -> None:
+        """Wait for a trouble's time, cause it, end it, and note when it was."""
+        await asyncio.sleep(plan.at)
+        began = self._loop.time()
+        # Open until it has ended, so that a day cut short excuses as much as it should.
+        self.windows.append(Window(plan.kind, began, math.inf))
+        place = len(self.windows) - 1
+        await self._how[plan.kind](plan)
+        self.windows[place] = Window(plan.kind, began, self._loop.time())
+
+    def _some_targets(self, plan: TroublePlan) -> list[Target]:
+        ready = [t for t in self._fleet.targets if t.leaving_at is None]
+        return _some(ready, plan.share, self._rng)
+
+    def _some_boxes(self, plan: TroublePlan) -> list[BoxProcess]:
+        running = [box for box in self._fleet.boxes if box.running]
+        return _some(running, plan.share, self._rng)
+
+    async def _burst(self, plan: TroublePlan) -> None:
+        self.load *= plan.x
+        await asyncio.sleep(plan.for_s)
+        self.load /= plan.x
+
+    # -- targets
+
+    async def _slow_targets(self, plan: TroublePlan) -> None:
+        targets = self._some_targets(plan)
+        for target in targets:
+            target.worker.settings.slowness = int(_USUAL_SLOWNESS * plan.x)
+        await asyncio.sleep(plan.for_s)
+        for target in targets:
+            target.worker.settings.slowness = _USUAL_SLOWNESS
+
+    async def _crash_targets(self, plan: TroublePlan) -> None:
+        targets = self._some_targets(plan)
+        for target in targets:
+            target.link.set_state(LinkState.RESET)
+        await asyncio.sleep(_UNLISTED_S)
+        for target in targets:
+            await self._fleet.end_target(target)
+        await asyncio.sleep(max(0.0, plan.for_s - _UNLISTED_S))
+        for target in targets:
+            service = next(s for s in self._fleet.day.services if s.name == target.service)
+            await self._fleet.add_target(service, target.place)
+
+    async def _cut_targets(self, plan: TroublePlan) -> None:
+        targets = self._some_targets(plan)
+        silent = plan.kind is TroubleKind.TARGET_SILENT
+        for target in targets:
+            target.link.set_state(LinkState.SILENT if silent else LinkState.RESET)
+        await asyncio.sleep(plan.for_s)
+        for target in targets:
+            target.link.set_state(LinkState.PASS)
+
+    async def _spoil_answers(self, plan: TroublePlan) -> None:
+        fault = {
+            TroubleKind.ANSWER_LOST: WorkerFault.LOST,
+            TroubleKind.ANSWER_CUT: WorkerFault.CUT,
+            TroubleKind.ANSWER_TWICE: WorkerFault.LATE_SURPLUS,
+        }[plan.kind]
+
+        def draw() -> WorkerFault:
+            return fault if self._rng.random() < plan.x else WorkerFault.NONE
+
+        targets = self._some_targets(plan)
+        for target in targets:
+            target.worker.settings.draw_fault = draw
+        await asyncio.sleep(plan.for_s)
+        for target in targets:
+            target.worker.settings.draw_fault = None
+
+    async def _lie(self, plan: TroublePlan) -> None:
+        targets = self._some_targets(plan)
+        for target in targets:
+            target.worker.settings.healthy = False
+        await asyncio.sleep(plan.for_s)
+        for target in targets:
+            target.worker.settings.healthy = True
+
+    async def _release(self, plan: TroublePlan) -> None:
+        for target in self._some_targets(plan):
+            await self._fleet.release(target)
+
+    # -- boxes
+
+    async def _kill_boxes(self, plan: TroublePlan) -> None:
+        boxes = self._some_boxes(plan)
+        for box in boxes:
+            box.kill()
+        await asyncio.sleep(plan.for_s)
+        for box in boxes:
+            box.start()
+        await asyncio.gather(*(box.wait_ready() for box in boxes))
+
+    async def _freeze_boxes(self, plan: TroublePlan) -> None:
+        boxes = self._some_boxes(plan)
+        for box in boxes:
+            box.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(plan.for_s)
+        for box in boxes:
+            box.send_signal(signal.SIGCONT)
+
+    async def _stop_boxes(self, plan: TroublePlan) -> None:
+        async def stop(box: BoxProcess) -> None:
+            box.send_signal(signal.SIGTERM)
+            await box.ended()
+            box.start()
+            await box.wait_ready()
+
+        stops = []
+        for box in self._some_boxes(plan):
+            stops.append(asyncio.ensure_future(stop(box)))
+            await asyncio.sleep(_STOP_GAP_S)
+        await asyncio.gather(*stops)
+
+    # -- the store
+
+    async def _store_down(self, plan: TroublePlan) -> None:
+        self._fleet.store.faults.fault = StoreFault.BUSY
+        await asyncio.sleep(plan.for_s)
+        self._fleet.store.faults.fault = StoreFault.NONE
+
+    async def _store_slow(self, plan: TroublePlan) -> None:
+        self._fleet.store.faults.slow_s = plan.x
+        await asyncio.sleep(plan.for_s)
+        self._fleet.store.faults.slow_s = 0.0
+
+    async def _cut_store(self, plan: TroublePlan) -> None:
+        silent = plan.kind is TroubleKind.STORE_SILENT
+        links = [self._fleet.store_links[box.name] for box in self._some_boxes(plan)]
+        for link in links:
+            link.set_state(LinkState.SILENT if silent else LinkState.RESET)
+        await asyncio.sleep(plan.for_s)
+        for link in links:
+            link.set_state(LinkState.PASS)
+
+    async def _forget(self, plan: TroublePlan) -> None:
+        self._fleet.store.forget_history()
+        await asyncio.sleep(plan.for_s)
+
+    # -- settings
+
+    async def _move(self, plan: TroublePlan) -> None:
+        movable = [kind for kind in self._fleet.day.kinds if kind.also is not None]
+        for kind in movable:
+            assert kind.also is not None
+            self._fleet.move(kind.name, kind.also)
+        await asyncio.sleep(plan.for_s)
+        for kind in movable:
+            self._fleet.move(kind.name, kind.service)
+
+    async def _storm(self, plan: TroublePlan) -> None:
+        for _ in range(_STORM_VERSIONS):
+            self._fleet.write_settings()
+            await asyncio.sleep(_STORM_GAP_S)
+
+
+def _some(items: Sequence[_T], share: float, rng: random.Random) -> list[_T]:
+    """Return a share of the items, at least one, drawn by chance."""
+    if not items:
+        return []
+    return rng.sample(list(items), max(1, round(share * len(items))))
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -53,13 +53,14 @@
 
 @dataclass(slots=True)
 class Ran:
-    """One request that a worker began to work on."""
+    """One request that a worker began to work on; ``arrived`` is in monotonic seconds."""
 
     request_id: str
     method: str
     path: str
     body: bytes
     deadline_ms: int
+    arrived: float = 0.0
     finished: bool = False
 
 
@@ -77,6 +78,10 @@
     hangs_when_full : bool
         Whether it never answers what it can't queue.
     healthy : bool
+    work_of : callable, optional
+        Given a path, returns the work in seconds; ``work_s`` for all if left out.
+    draw_fault : callable, optional
+        Returns what is wrong with the next answer once ``faults`` is used up.
     """
 
     slots: int = 3
@@ -87,6 +92,8 @@
     hangs_when_full: bool = False
     healthy: bool = True
     faults: list[WorkerFault] = field(default_factory=list)
+    work_of: Callable[[str], float] | None = None
+    draw_fault: Callable[[], WorkerFault] | None = None
 
 
 class WorkerStandin:
@@ -129,15 +136,28 @@
         if self._server is not None:
             await self._server.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether it works on a request, or one waits."""
+        return self._running + self._waiting > 0
+
     def replace(self) -> str:
         """Have another worker take over the address; return its id."""
         self.instance = f"i-{next(_numbers):08x}"
         return self.instance
 
-    def row(self, service: str, *, zone: str, state: str = "ready", sequence: int = 1) -> object:
-        """Return the row in which it records itself."""
+    def row(
+        self,
+        service: str,
+        *,
+        zone: str,
+        state: str = "ready",
+        sequence: int = 1,
+        address: str = "",
+    ) -> object:
+        """Return the row in which it records itself; it may be reached at another address."""
         return {
-            "address": self.address,
+            "address": address or self.address,
             "info": {
                 "service": service,
                 "version": "v1",
@@ -176,6 +196,7 @@
             exchange.path,
             b"",
             int(exchange.header("deadline-ms") or 0),
+            exchange.arrived,
         )
         try:
             await self._run(exchange, run)
@@ -187,7 +208,7 @@
             self._slots.release()
 
     async def _run(self, exchange: Exchange, run: Ran) -> None:
-        fault = self.settings.faults.pop(0) if self.settings.faults else WorkerFault.NONE
+        fault = self._next_fault()
         if fault is WorkerFault.EARLY:
             exchange.reply(503, [Header("Not-Executed", "1"), _id(run.request_id)], b"")
             return
@@ -196,11 +217,19 @@
         self.began.set()
         if self.hold is not None:
             await self.hold.wait()
-        if self.settings.work_s:
-            await asyncio.sleep(self.settings.work_s * self.settings.slowness / 100)
+        work_of = self.settings.work_of
+        work_s = self.settings.work_s if work_of is None else work_of(run.path)
+        if work_s:
+            await asyncio.sleep(work_s * self.settings.slowness / 100)
         run.finished = True
         await self._answer(exchange, run, fault)
 
+    def _next_fault(self) -> WorkerFault:
+        if self.settings.faults:
+            return self.settings.faults.pop(0)
+        draw = self.settings.draw_fault
+        return WorkerFault.NONE if draw is None else draw()
+
     async def _answer(self, exchange: Exchange, run: Ran, fault: WorkerFault) -> None:
         body = f"{self.instance} ran {run.request_id}".encode()
         headers = [_id(run.request_id), Header("Response-Seal", f"seal-{run.request_id}")]
--- /dev/null
+++ b/tests/test_lab_referee.py
@@ -0,0 +1,197 @@
+"""The referee sees each broken promise, and excuses only what it should."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from dunlinnotch.lab.day import Bounds, Day, KindPlan, ServicePlan, TroubleKind
+from dunlinnotch.lab.fleet import Target
+from dunlinnotch.lab.referee import Evidence, Promise, Referee, Window
+from dunlinnotch.standins.users.caller import AttemptOutcome, AttemptRecord
+from dunlinnotch.standins.users.worker import Ran
+
+DAY = Day(
+    boxes=2,
+    services=(ServicePlan(name="records", targets=1), ServicePlan(name="uploads", targets=1)),
+    kinds=(
+        KindPlan(name="lookup", service="records", also="uploads", repeatable=True, per_s=10),
+        KindPlan(name="payment", service="records", repeatable=False, per_s=10),
+    ),
+    bounds=Bounds(contact=3, drain=2, apply=2, recovery=5, probes_per_s=10),
+)
+BOX = "127.0.0.1:1"
+
+
+def target(name="t1", service="records", *, leaving_at=None, probes=0):
+    worker = SimpleNamespace(instance=name, ran=[], probes=probes)
+    return Target(worker, None, service, "hall-a", leaving_at=leaving_at)
+
+
+def run_at(where, request_id, *, kind="lookup", arrived=10.0, path=None, method=None):
+    method = method or ("GET" if kind == "lookup" else "POST")
+    run = Ran(request_id, method, path or f"/{kind}/1", b"", 1000, arrived=arrived)
+    where.worker.ran.append(run)
+
+
+def attempt(request_id="a1", *, kind="lookup", request=1, sent=10.0, took=0.1, **seen):
+    method = "GET" if kind == "lookup" else "POST"
+    record = AttemptRecord(request, request_id, kind, BOX, method, f"/{kind}/1", sent)
+    record.ended = sent + took
+    record.outcome = AttemptOutcome.ANSWERED
+    record.status = 200
+    record.sealed = True
+    record.named = request_id
+    record.body = f"t1 ran {request_id}".encode()
+    for name, value in seen.items():
+        setattr(record, name, value)
+    return record
+
+
+def judge(attempts, targets, *, windows=(), moves=None, ended=30.0):
+    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {})
+    return [finding.promise for finding in Referee(evidence).findings()]
+
+
+def test_a_day_without_fault_has_no_findings():
+    one = target()
+    run_at(one, "a1")
+    run_at(one, "a2", kind="payment")
+    assert judge([attempt("a1"), attempt("a2", kind="payment")], [one]) == []
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [
+        {"body": b"t1 ran a2"},
+        {"body": b"t1 ran a"},
+        {"sealed": False},
+        {"body": b"t9 ran a1"},
+    ],
+)
+def test_an_answer_that_is_not_the_whole_own_one(seen):
+    one = target()
+    run_at(one, "a1")
+    assert judge([attempt("a1", **seen)], [one]) == [Promise.WHOLE]
+
+
+def test_an_answer_with_another_s_name():
+    one = target()
+    run_at(one, "a1")
+    assert judge([attempt("a1", named="a2", status=500)], [one]) == [Promise.WHOLE]
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_refused_as_not_run_yet_it_ran(status):
+    one = target()
+    run_at(one, "a1", kind="payment")
+    refused = attempt("a1", kind="payment", status=status)
+    assert judge([refused], [one]) == [Promise.NOT_RUN]
+    run_at(one, "a2")
+    lookup = attempt("a2", status=status)
+    assert judge([lookup], [one]) == [Promise.AS_SENT], "a1 was sent by nobody here"
+
+
+def test_what_may_not_be_repeated_ran_twice():
+    one, two = target(), target("t2")
+    for where in (one, two):
+        run_at(where, "a1", kind="payment")
+        run_at(where, "a2")
+    attempts = [attempt("a1", kind="payment"), attempt("a2")]
+    assert judge(attempts, [one, two]) == [Promise.ONCE]
+
+
+@pytest.mark.parametrize(
+    "ran",
+    [{"path": "/lookup/2"}, {"method": "POST"}],
+)
+def test_what_ran_is_not_what_was_sent(ran):
+    one = target()
+    run_at(one, "a1", **ran)
+    assert judge([attempt("a1")], [one]) == [Promise.AS_SENT]
+
+
+def test_a_request_that_nobody_sent():
+    one = target()
+    run_at(one, "a9")
+    assert judge([], [one]) == [Promise.AS_SENT]
+
+
+@pytest.mark.parametrize(
+    ("arrived", "windows", "found"),
+    [
+        (12.0, [], []),
+        (12.5, [], [Promise.DRAIN]),
+        (12.5, [Window(TroubleKind.RELEASE, 0.0, 30.0)], [Promise.DRAIN]),
+        (12.5, [Window(TroubleKind.BOX_KILL, 9.0, 9.5)], []),
+        (12.5, [Window(TroubleKind.BOX_KILL, 2.0, 6.5)], [Promise.DRAIN]),
+    ],
+)
+def test_a_leaving_target_got_a_request(arrived, windows, found):
+    one = target(leaving_at=10.0)
+    run_at(one, "a1", arrived=arrived)
+    assert judge([attempt("a1", sent=arrived)], [one], windows=windows) == found
+
+
+@pytest.mark.parametrize(
+    ("sent", "service", "windows", "found"),
+    [
+        (11.0, "records", [], []),
+        (13.0, "records", [], [Promise.SETTINGS]),
+        (13.0, "records", [Window(TroubleKind.STORE_DOWN, 9.0, 11.0)], []),
+        (13.0, "uploads", [], []),
+        (9.0, "uploads", [], [Promise.SETTINGS]),
+    ],
+)
+def test_a_request_that_ran_by_old_settings(sent, service, windows, found):
+    one = target(service=service)
+    run_at(one, "a1", arrived=sent)
+    moves = {"lookup": [(0.0, "records"), (10.0, "uploads")]}
+    seen = [attempt("a1", sent=sent)]
+    assert judge(seen, [one], windows=windows, moves=moves) == found
+
+
+@pytest.mark.parametrize(
+    ("windows", "found"),
+    [
+        ([Window(TroubleKind.BOX_STOP, 8.0, 12.0)], [Promise.STOP]),
+        ([Window(TroubleKind.BOX_KILL, 8.0, 9.0)], []),
+    ],
+)
+def test_a_request_cut_off_by_a_planned_stop(windows, found):
+    one = target()
+    run_at(one, "a1")
+    cut = attempt("a1", outcome=AttemptOutcome.CUT, status=0)
+    assert judge([cut], [one], windows=windows) == found
+    unread = attempt("a2", outcome=AttemptOutcome.CUT, status=0, took=0.1)
+    assert judge([unread], [], windows=windows) == []
+    read = attempt("a3", outcome=AttemptOutcome.CUT, status=0, took=0.4)
+    assert judge([read], [], windows=windows) == found
+
+
+def test_a_request_held_beyond_its_time():
+    one = target()
+    run_at(one, "a1")
+    assert judge([attempt("a1", took=2.6)], [one]) == [Promise.IN_TIME]
+    assert judge([attempt("a1", took=2.4)], [one]) == []
+
+
+def test_more_probes_than_the_budget():
+    assert judge([], [target(probes=301)]) == [Promise.PROBES]
+    assert judge([], [target(probes=299)]) == []
+
+
+@pytest.mark.parametrize(("served", "found"), [(29, []), (20, [Promise.RECOVERY])])
+def test_callers_that_are_not_served_again(served, found):
+    one = target()
+    attempts = []
+    for number in range(30):
+        request_id = f"a{number}"
+        status = 200 if number < served else 500
+        attempts.append(attempt(request_id, request=number, sent=20.0, status=status))
+        run_at(one, request_id, arrived=20.0)
+    windows = [Window(TroubleKind.BOX_KILL, 8.0, 14.0)]
+    assert judge(attempts, [one], windows=windows) == found
+    later = [Window(TroubleKind.BOX_KILL, 8.0, 16.0)]
+    assert judge(attempts, [one], windows=later) == []
--- a/tests/test_users_processes.py
+++ b/tests/test_users_processes.py
@@ -6,7 +6,8 @@
 import json
 import signal
 
-from demo.users import UsersFleet, document, until
+from demo.users import UsersFleet, document
+from dunlinnotch.standins.users.box import status_of, until
 from dunlinnotch.transport.stream.fetch import Fetcher
 
 
@@ -36,9 +37,9 @@
         figures = (await Fetcher(box.figures).fetch("GET", "/metrics", timeout=5.0)).body.decode()
         assert 'dunlinnotch_requests_total{kind="lookup",outcome="answered",reason=""} 1' in figures
         assert "dunlinnotch_settings_version 1" in figures
-        assert await fleet.status_of(box.readiness, "/elsewhere") == 404
+        assert await status_of(box.readiness, "/elsewhere") == 404
         box.send_signal(signal.SIGTERM)
-        await fleet.wait_ready(box, status=503)
+        await box.wait_ready(status=503)
         assert await box.ended() == 0
         events = [json.loads(line)["event"] for line in box.events().splitlines()]
         for event in ("started", "serving", "settings-in-force", "route", "stopping", "stopped"):
@@ -81,7 +82,7 @@
         fleet.store.put("op", "config", document(2, "holdings"))
         await until(lambda: '"version":2' in second.events(), "the other box reads for itself")
         first.start()
-        await fleet.wait_ready(first)
+        await first.wait_ready()
         assert (await fleet.call(first, "/lookup/a"))[0] == 200
 
     run(tmp_path, test)
