Follow a request, and a box's beliefs, through the logs of many boxes

dunlinnotch trace request and trace box. The started line told the peer's address as the caller's; it tells both now.

--- a/dunlinnotch/cli/__main__.py
+++ b/dunlinnotch/cli/__main__.py
@@ -6,7 +6,7 @@
 
 from cleo.application import Application
 
-from dunlinnotch.cli import lab, moves, settings
+from dunlinnotch.cli import lab, moves, settings, trace
 
 COMMANDS = (
     settings.SettingsShow,
@@ -30,6 +30,8 @@
     lab.LabRun,
     lab.LabSoak,
     lab.LabCompare,
+    trace.TraceRequest,
+    trace.TraceBox,
 )
 
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -210,7 +210,14 @@
         await self._table_port.listen(self._settings.peer)
         host, _, port = self._settings.peer.rpartition(":")
         await self._loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
-        event(_log, "started", box=self.mesh.name, place=self.mesh.place, caller=self.mesh.peer)
+        event(
+            _log,
+            "started",
+            box=self.mesh.name,
+            place=self.mesh.place,
+            caller=self._settings.caller,
+            peer=self._settings.peer,
+        )
         self._spawn(self._send_words())
         await self._hear_peers()
         for follower in self.followers:
