--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/mesh.py
@@ -45,6 +45,7 @@
 class _Heard:
     word: BoxWord
     at: Seconds
+    silent: bool = False
 
 
 class Mesh:
@@ -137,6 +138,8 @@
                 reading=word.reading,
                 before=None if known is None else known.word.state,
             )
+        if known is not None and known.silent:
+            event(_log, "box-heard-again", box=word.name, silent_s=round(now - known.at, 2))
         self._known[word.place] += known is None
         self._heard[word.name] = _Heard(word, now)
         self._count(word)
@@ -197,6 +200,16 @@
             event(_log, "box-forgotten", box=name)
         return [heard.word for heard in self._heard.values()]
 
+    def note_silent(self) -> None:
+        """Log, once each, the boxes that are heard all the time and are now silent."""
+        now = self._clock()
+        for word in self._links.near(self.others()):
+            heard = self._heard[word.name]
+            if not heard.silent and now - heard.at > SUSPECT_S:
+                heard.silent = True
+                silent_s = round(now - heard.at, 2)
+                event(_log, "box-silent", box=word.name, place=word.place, silent_s=silent_s)
+
     def to_tell(self) -> list[Address]:
         """Return the peers that are to hear this box's word at each turn."""
         return [word.peer for word in self._links.near(self.others())]
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -391,6 +391,7 @@
     async def _send_words(self) -> None:
         while True:
             self._send_word()
+            self.mesh.note_silent()
             await asyncio.sleep(WORD_S * (0.9 + 0.2 * self._rng.random()))
 
     def _send_word(self) -> None:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -1,7 +1,7 @@
 """Break each mechanism in turn and show that its proof goes red.
 
 ``python -m tests.mutants`` (``make mutants``) exits 0 only if no break goes
-unseen.
+unseen; words given after it choose the mutants whose names hold one of them.
 """
 
 from __future__ import annotations
@@ -22,13 +22,15 @@
 from dunlinnotch.coordination.following import TableFollower
 from dunlinnotch.coordination.forward import Forwarder
 from dunlinnotch.coordination.gate import WorkGate
+from dunlinnotch.coordination.links import Links
 from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.mesh import Mesh
+from dunlinnotch.coordination.mesh import STALE_S, Mesh
 from dunlinnotch.coordination.router import Router
 from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
 from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.protocol.answers import OnceKey, parse_once_key
 from dunlinnotch.protocol.attempt import Broken
+from dunlinnotch.protocol.mesh import BoxWord
 from dunlinnotch.protocol.outcome import Outcome
 from dunlinnotch.protocol.relay import Verdict
 from dunlinnotch.state.followed import FollowedTable
@@ -193,6 +195,23 @@
     return False
 
 
+def _tell_nobody_far(self, words, *, follows):
+    return []
+
+
+def _told_on_as_new(self, by):
+    return self
+
+
+def _count_own_place(self, word):
+    if word.place == self.place:
+        self._place_boxes[self.place] = self._known[self.place] + 1
+
+
+def _impatient(self):
+    return any(self.age(table) > STALE_S for table in self._tables.values())
+
+
 def _never_behind(self, call):
     return None
 
@@ -206,6 +225,7 @@
 
 
 ENTRY, SHARES = "tests/test_entry.py", "tests/test_shares.py"
+LINKS = "tests/test_links.py"
 
 MUTANTS = (
     Mutant("repeat what may run once", Forwarder, "_may_repeat", _repeat_anything, ENTRY),
@@ -236,6 +256,10 @@
     Mutant("probe without a budget", ProbeShare, "take", _spend_freely, SHARES),
     Mutant("repeat without a budget", RepeatShare, "take", _spend_freely, SHARES),
     Mutant("leave the store to others", Mesh, "is_reader", _nobody_reads, "tests/test_mesh.py"),
+    Mutant("tell no other place", Links, "far", _tell_nobody_far, LINKS),
+    Mutant("take a word told on for a new one", BoxWord, "aged", _told_on_as_new, LINKS),
+    Mutant("count the boxes of the own place", Mesh, "_count", _count_own_place, LINKS),
+    Mutant("all read the store at the start", Mesh, "stale", _impatient, "tests/test_mesh.py"),
     Mutant(
         "trust a call that hangs",
         TableFollower,
@@ -302,11 +326,12 @@
     return None
 
 
-def main():
+def main(words):
     """Try each mutant; return 1 if one went unseen."""
     logging.disable(logging.CRITICAL)
     unseen = 0
-    for mutant in MUTANTS:
+    chosen = [m for m in MUTANTS if not words or any(word in m.name for word in words)]
+    for mutant in chosen:
         by = seen(mutant)
         unseen += by is None
         print(f"{'seen  ' if by else 'UNSEEN'} {mutant.name}: {by}", flush=True)
@@ -314,4 +339,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -157,6 +157,22 @@
     assert not mesh.take(replace(mesh.own_word(), incarnation=9))
 
 
+def test_a_silent_box_is_logged_once_and_when_it_is_heard_again(caplog):
+    caplog.set_level("INFO")
+    clock = Clock()
+    (mesh, _), (other, _) = box("a", clock), box("b", clock)
+    mesh.take(other.own_word())
+    mesh.note_silent()
+    clock.now += SUSPECT_S + 0.1
+    mesh.note_silent()
+    mesh.note_silent()
+    mesh.take(other.own_word())
+    events = [record.getMessage() for record in caplog.records]
+    assert events == ["box", "box-silent", "box-heard-again"]
+    assert caplog.records[1].fields["box"] == "b"
+    assert caplog.records[2].fields["silent_s"] == pytest.approx(SUSPECT_S + 0.1, abs=0.01)
+
+
 def test_silent_and_draining_boxes_are_not_offered_and_the_own_place_goes_first():
     clock = Clock()
     mesh, _ = box("a", clock)
