--- /dev/null
+++ b/benchmarks/_boxes.py
@@ -0,0 +1,142 @@
+"""Many meshes in one process, joined by a network that loses a share of the words."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from dunlinnotch.coordination.mesh import RUNNING, Mesh
+from dunlinnotch.protocol.mesh import pack_words
+from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from dunlinnotch.protocol.mesh import BoxWord
+
+PLACES = ("ikeja", "lekki", "surulere", "yaba")
+BEAT_S = 0.5
+_SEEDS = 3
+_FIRST_VERSION = 5
+
+
+class Clock:
+    """A clock that its owner moves."""
+
+    def __init__(self) -> None:
+        self.now = 10.0
+
+    def __call__(self) -> float:
+        """Return the time, in seconds."""
+        return self.now
+
+
+class Boxes:
+    """Meshes that tell each other as entry boxes do.
+
+    Parameters
+    ----------
+    count : int
+    seed : int, default 1
+    lost : float, default 0.0
+        Share of the words that are lost.
+
+    Attributes
+    ----------
+    sent, sent_bytes : int
+        Messages, each of a word or a few, and their bytes.
+    """
+
+    def __init__(self, count: int, *, seed: int = 1, lost: float = 0.0) -> None:
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.lost = lost
+        self.tables: dict[str, FollowedTable] = {}
+        self.meshes: dict[str, Mesh] = {}
+        self.sent = 0
+        self.sent_bytes = 0
+        for number in range(count):
+            self._add(f"box-{number}", PLACES[number % len(PLACES)])
+
+    def _add(self, name: str, place: str) -> None:
+        table = FollowedTable("t", lambda _: None)
+        mesh = Mesh(
+            name=name,
+            place=place,
+            incarnation=1,
+            caller=f"{name}:1",
+            peer=name,
+            tables=[table],
+            clock=self.clock,
+            rng=self.rng,
+        )
+        mesh.state = RUNNING
+        self.tables[name] = table
+        self.meshes[name] = mesh
+
+    def send(self, words: Sequence[BoxWord], peers: Sequence[str]) -> None:
+        """Deliver words; whoever is behind takes the table over and passes the news on."""
+        queue = [(words, peer) for peer in peers]
+        while queue:
+            words, peer = queue.pop(0)
+            self.sent += 1
+            self.sent_bytes += sum(map(len, pack_words(words)))
+            if self.rng.random() >= self.lost:
+                for word in words:
+                    queue += self._take(peer, word)
+
+    def _take(self, name: str, word: BoxWord) -> list[tuple[Sequence[BoxWord], str]]:
+        """Have a box take in a word; return what it sends because of it."""
+        mesh = self.meshes[name]
+        new = not mesh.knows(word.name)
+        if not mesh.take(word):
+            return []
+        answers: list[tuple[Sequence[BoxWord], str]] = []
+        if word.wants_word:
+            answers.append(([mesh.own_word(), *mesh.introductions(word.place)], word.peer))
+        elif new:
+            answers.append(([mesh.own_word()], word.peer))
+        if mesh.newer(word):
+            self._fetch(name, word.name)
+            answers += [([mesh.own_word()], other) for other in mesh.to_tell_news()]
+        return answers
+
+    def _fetch(self, name: str, teller: str) -> None:
+        mine, theirs = self.tables[name], self.tables[teller]
+        assert theirs.verified_at is not None
+        mine.take(theirs.since(mine.version), at=theirs.verified_at)
+
+    def hello(self) -> None:
+        """Have each box ask the seeds whom to know."""
+        seeds = list(self.meshes)[:_SEEDS]
+        for name, mesh in self.meshes.items():
+            self.send([mesh.own_word(wants_word=True)], [seed for seed in seeds if seed != name])
+
+    def beat(self) -> None:
+        """Let a turn go by, and each box tell its word."""
+        self.clock.now += BEAT_S
+        for mesh in self.meshes.values():
+            self.tell(mesh, mesh.to_tell())
+
+    def tell(self, mesh: Mesh, near: Sequence[str]) -> None:
+        """Have a box tell its word near by and far away."""
+        word = mesh.own_word()
+        self.send([word], near)
+        self.send([word, *mesh.follower()], mesh.to_tell_far())
+
+    def write(self, version: int) -> None:
+        """Have the lead read a new version and tell it, as a reader does."""
+        lead = next(m for m in self.meshes.values() if m.is_lead())
+        row = TableRow("k", version, b"v")
+        self.tables[lead.name].take(TableDelta("t", version, True, (row,)), at=self.clock.now)
+        self.tell(lead, lead.to_tell_news())
+
+    def settled(self) -> Boxes:
+        """Introduce all boxes and let them speak for a while; return self."""
+        for _ in range(4):
+            self.hello()  # Until a seed has answered.
+            self.beat()
+        self.write(_FIRST_VERSION)
+        for _ in range(3):
+            self.beat()
+        return self
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from benchmarks._boxes import Clock
 from dunlinnotch.coordination.mesh import (
     DRAINING,
     RUNNING,
@@ -20,16 +21,6 @@
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
 
 
-class Clock:
-    """A clock that the test moves."""
-
-    def __init__(self):
-        self.now = 10.0
-
-    def __call__(self):
-        return self.now
-
-
 def box(name, clock, *, place="hall-a", incarnation=1, version=5):
     table = FollowedTable("t", lambda _: None)
     if version:
