--- a/benchmarks/_boxes.py
+++ b/benchmarks/_boxes.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from dunlinnotch.coordination.mesh import RUNNING, Mesh
+from dunlinnotch.coordination.membership.mesh import RUNNING, Mesh
 from dunlinnotch.protocol.mesh import pack_words
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
 
--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -14,9 +14,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 from benchmarks._model import MEAN_SPEED, TRAVEL_S, WORK_S, Events, FakeTarget, Job, quantile
-from dunlinnotch.coordination.choice import Chooser
-from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
-from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.coordination.budgets.probes import ProbeBudget, probes_per_second
+from dunlinnotch.coordination.choosing.least_load import Chooser
+from dunlinnotch.coordination.choosing.subset import assign_subsets
 from dunlinnotch.state.schema import Settings
 from dunlinnotch.state.targets import Flight, TargetRecord
 
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -15,9 +15,9 @@
 from typing import TYPE_CHECKING
 
 from benchmarks._model import MEAN_SPEED, TRAVEL_S, WORK_S, Events, FakeTarget, Job, quantile
-from dunlinnotch.coordination.limits import Grant, Ticket, TicketState
-from dunlinnotch.coordination.pool import ServicePool
-from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.coordination.choosing.limits import Grant, Ticket, TicketState
+from dunlinnotch.coordination.choosing.pool import ServicePool
+from dunlinnotch.coordination.choosing.subset import assign_subsets
 from dunlinnotch.protocol.attempt import LoadReport
 from dunlinnotch.state.schema import Settings
 from dunlinnotch.state.targets import TargetRecord
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -18,12 +18,12 @@
 import msgpack
 
 from dunlinnotch import _codec
-from dunlinnotch.coordination.choice import Chooser
-from dunlinnotch.coordination.directory import PoolDirectory
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.settings import SettingsHolder
-from dunlinnotch.coordination.steering import Steering
-from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.coordination.choosing.directory import PoolDirectory
+from dunlinnotch.coordination.choosing.least_load import Chooser
+from dunlinnotch.coordination.choosing.subset import assign_subsets
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.membership.steering import Steering
+from dunlinnotch.coordination.settings.tree import SettingsHolder
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.state.boxes import BoxRow
 from dunlinnotch.state.heads import AnswerHead
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.settings import SettingsHolder
-from dunlinnotch.coordination.steering import Steering
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.membership.steering import Steering
+from dunlinnotch.coordination.settings.tree import SettingsHolder
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.state.boxes import BoxRow
 from dunlinnotch.state.schema import RunState
--- a/dunlinnotch/__init__.py
+++ b/dunlinnotch/__init__.py
@@ -11,17 +11,21 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from dunlinnotch.coordination.choice import Choice, Chooser, place_shares
-    from dunlinnotch.coordination.drain import Drain
-    from dunlinnotch.coordination.limits import Ticket, WaitQueue
-    from dunlinnotch.coordination.membership import Membership
-    from dunlinnotch.coordination.once import OnceGuard
-    from dunlinnotch.coordination.pool import ServicePool
-    from dunlinnotch.coordination.probes import ProbeBudget
-    from dunlinnotch.coordination.retries import RetryBudget
-    from dunlinnotch.coordination.settings import SettingsEditor, SettingsFollower, SettingsHolder
-    from dunlinnotch.coordination.steering import Steering
-    from dunlinnotch.coordination.subset import assign_subsets
+    from dunlinnotch.coordination.budgets.probes import ProbeBudget
+    from dunlinnotch.coordination.budgets.retries import RetryBudget
+    from dunlinnotch.coordination.choosing.least_load import Choice, Chooser, place_shares
+    from dunlinnotch.coordination.choosing.limits import Ticket, WaitQueue
+    from dunlinnotch.coordination.choosing.pool import ServicePool
+    from dunlinnotch.coordination.choosing.subset import assign_subsets
+    from dunlinnotch.coordination.membership.rows import Membership
+    from dunlinnotch.coordination.membership.steering import Steering
+    from dunlinnotch.coordination.requests.drain import Drain
+    from dunlinnotch.coordination.requests.once import OnceGuard
+    from dunlinnotch.coordination.settings.tree import (
+        SettingsEditor,
+        SettingsFollower,
+        SettingsHolder,
+    )
     from dunlinnotch.protocol.outcome import CallResult, EditResult, EditStatus, Outcome, Reason
     from dunlinnotch.state.ledger import OnceLedger
     from dunlinnotch.state.targets import TargetRecord
@@ -59,30 +63,30 @@
 _MODULES = {
     "CallResult": "dunlinnotch.protocol.outcome",
     "Change": "dunlinnotch.state.tree",
-    "Choice": "dunlinnotch.coordination.choice",
-    "Chooser": "dunlinnotch.coordination.choice",
-    "Drain": "dunlinnotch.coordination.drain",
+    "Choice": "dunlinnotch.coordination.choosing.least_load",
+    "Chooser": "dunlinnotch.coordination.choosing.least_load",
+    "Drain": "dunlinnotch.coordination.requests.drain",
     "Edit": "dunlinnotch.state.tree",
     "EditResult": "dunlinnotch.protocol.outcome",
     "EditStatus": "dunlinnotch.protocol.outcome",
-    "Membership": "dunlinnotch.coordination.membership",
-    "OnceGuard": "dunlinnotch.coordination.once",
+    "Membership": "dunlinnotch.coordination.membership.rows",
+    "OnceGuard": "dunlinnotch.coordination.requests.once",
     "OnceLedger": "dunlinnotch.state.ledger",
     "Outcome": "dunlinnotch.protocol.outcome",
-    "ProbeBudget": "dunlinnotch.coordination.probes",
+    "ProbeBudget": "dunlinnotch.coordination.budgets.probes",
     "Reason": "dunlinnotch.protocol.outcome",
-    "RetryBudget": "dunlinnotch.coordination.retries",
-    "ServicePool": "dunlinnotch.coordination.pool",
-    "SettingsEditor": "dunlinnotch.coordination.settings",
-    "SettingsFollower": "dunlinnotch.coordination.settings",
-    "SettingsHolder": "dunlinnotch.coordination.settings",
+    "RetryBudget": "dunlinnotch.coordination.budgets.retries",
+    "ServicePool": "dunlinnotch.coordination.choosing.pool",
+    "SettingsEditor": "dunlinnotch.coordination.settings.tree",
+    "SettingsFollower": "dunlinnotch.coordination.settings.tree",
+    "SettingsHolder": "dunlinnotch.coordination.settings.tree",
     "SettingsTree": "dunlinnotch.state.tree",
-    "Steering": "dunlinnotch.coordination.steering",
+    "Steering": "dunlinnotch.coordination.membership.steering",
     "TargetRecord": "dunlinnotch.state.targets",
-    "Ticket": "dunlinnotch.coordination.limits",
-    "WaitQueue": "dunlinnotch.coordination.limits",
-    "assign_subsets": "dunlinnotch.coordination.subset",
-    "place_shares": "dunlinnotch.coordination.choice",
+    "Ticket": "dunlinnotch.coordination.choosing.limits",
+    "WaitQueue": "dunlinnotch.coordination.choosing.limits",
+    "assign_subsets": "dunlinnotch.coordination.choosing.subset",
+    "place_shares": "dunlinnotch.coordination.choosing.least_load",
 }
 
 
--- a/dunlinnotch/coordination/seats.py
+++ b/dunlinnotch/coordination/budgets/seats.py
@@ -15,7 +15,7 @@
 from dunlinnotch import _codec
 from dunlinnotch._logs import event
 from dunlinnotch._wire import wire
-from dunlinnotch.coordination.subset import rank_hash
+from dunlinnotch.coordination.choosing.subset import rank_hash
 from dunlinnotch.errors import PlatformUnavailableError, ProtocolError
 from dunlinnotch.protocol.platform import Check, Put, Transaction, TransactResult
 from dunlinnotch.state.lease import Lease
--- a/dunlinnotch/coordination/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.fresh import FRESH_S, excess
+from dunlinnotch.coordination.choosing.fresh import FRESH_S, excess
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import TargetReport
 
@@ -22,8 +22,8 @@
     import random
     from collections.abc import Callable, Collection, Coroutine
 
-    from dunlinnotch.coordination.fresh import FreshChooser
-    from dunlinnotch.coordination.shares import ProbeShare
+    from dunlinnotch.coordination.budgets.shares import ProbeShare
+    from dunlinnotch.coordination.choosing.fresh import FreshChooser
     from dunlinnotch.protocol.relay import TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.types import Seconds
--- a/dunlinnotch/coordination/directory.py
+++ b/dunlinnotch/coordination/choosing/directory.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from dunlinnotch.coordination.choice import place_shares
-from dunlinnotch.coordination.pool import ServicePool
-from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.coordination.choosing.least_load import place_shares
+from dunlinnotch.coordination.choosing.pool import ServicePool
+from dunlinnotch.coordination.choosing.subset import assign_subsets
 from dunlinnotch.state.schema import RunState
 from dunlinnotch.state.targets import TargetRecord
 
--- a/dunlinnotch/coordination/limits.py
+++ b/dunlinnotch/coordination/choosing/limits.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dunlinnotch.coordination.choice import Choice
+    from dunlinnotch.coordination.choosing.least_load import Choice
     from dunlinnotch.state.targets import Flight
     from dunlinnotch.types import Seconds
 
--- a/dunlinnotch/coordination/pool.py
+++ b/dunlinnotch/coordination/choosing/pool.py
@@ -5,9 +5,9 @@
 import threading
 from typing import TYPE_CHECKING
 
-from dunlinnotch.coordination.choice import Choice, Chooser
-from dunlinnotch.coordination.limits import Grant, Ticket, TicketState, WaitQueue
-from dunlinnotch.coordination.retries import RetryBudget
+from dunlinnotch.coordination.budgets.retries import RetryBudget
+from dunlinnotch.coordination.choosing.least_load import Choice, Chooser
+from dunlinnotch.coordination.choosing.limits import Grant, Ticket, TicketState, WaitQueue
 from dunlinnotch.state.boxes import LeavingTarget
 
 if TYPE_CHECKING:
--- a/dunlinnotch/coordination/core.py
+++ b/dunlinnotch/coordination/core.py
@@ -11,17 +11,17 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.directory import PoolDirectory
-from dunlinnotch.coordination.drain import Drain
-from dunlinnotch.coordination.gate import WorkGate
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.once import OnceGuard
-from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
-from dunlinnotch.coordination.router import Router
-from dunlinnotch.coordination.seats import LEASE_S, SeatHolder
-from dunlinnotch.coordination.settings import SettingsEditor, SettingsFollower, SettingsHolder
-from dunlinnotch.coordination.steering import Steering
-from dunlinnotch.coordination.subset import highest
+from dunlinnotch.coordination.budgets.probes import ProbeBudget, probes_per_second
+from dunlinnotch.coordination.budgets.seats import LEASE_S, SeatHolder
+from dunlinnotch.coordination.choosing.directory import PoolDirectory
+from dunlinnotch.coordination.choosing.subset import highest
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.membership.steering import Steering
+from dunlinnotch.coordination.requests.drain import Drain
+from dunlinnotch.coordination.requests.once import OnceGuard
+from dunlinnotch.coordination.requests.router import Router
+from dunlinnotch.coordination.settings.gate import WorkGate
+from dunlinnotch.coordination.settings.tree import SettingsEditor, SettingsFollower, SettingsHolder
 from dunlinnotch.protocol.operator import DrainPhase
 from dunlinnotch.state.ledger import OnceLedger
 from dunlinnotch.state.schema import RunState, Settings
@@ -30,9 +30,9 @@
     import random
     from collections.abc import Callable
 
-    from dunlinnotch.coordination.drain import Front
-    from dunlinnotch.coordination.pool import ServicePool
-    from dunlinnotch.coordination.router import CallObserver
+    from dunlinnotch.coordination.choosing.pool import ServicePool
+    from dunlinnotch.coordination.requests.drain import Front
+    from dunlinnotch.coordination.requests.router import CallObserver
     from dunlinnotch.protocol.answers import AddressAnswer
     from dunlinnotch.protocol.attempt import (
         CallerWatch,
--- a/dunlinnotch/coordination/links.py
+++ b/dunlinnotch/coordination/membership/links.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from dunlinnotch.coordination.subset import highest
+from dunlinnotch.coordination.choosing.subset import highest
 
 if TYPE_CHECKING:
     import random
--- a/dunlinnotch/coordination/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.links import Links
-from dunlinnotch.coordination.subset import highest
+from dunlinnotch.coordination.choosing.subset import highest
+from dunlinnotch.coordination.membership.links import Links
 from dunlinnotch.protocol.mesh import BoxWord, TableState
 
 if TYPE_CHECKING:
--- a/dunlinnotch/coordination/membership.py
+++ b/dunlinnotch/coordination/membership/rows.py
@@ -13,14 +13,14 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.subset import highest
+from dunlinnotch.coordination.choosing.subset import highest
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.state.schema import RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.coordination.settings.tree import SettingsHolder
     from dunlinnotch.protocol.platform import ListedBox
     from dunlinnotch.state.boxes import BoxRow, LeavingTarget
     from dunlinnotch.types import Address, Clock, Seconds, Version
--- a/dunlinnotch/coordination/steering.py
+++ b/dunlinnotch/coordination/membership/steering.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from dunlinnotch.coordination.subset import highest
+from dunlinnotch.coordination.choosing.subset import highest
 from dunlinnotch.protocol.answers import AddressAnswer, AddressEntry, once_stem
 from dunlinnotch.state.schema import RunState
 
 if TYPE_CHECKING:
     import random
 
-    from dunlinnotch.coordination.membership import Membership
+    from dunlinnotch.coordination.membership.rows import Membership
     from dunlinnotch.state.boxes import BoxRow
     from dunlinnotch.state.tree import SettingsTree
     from dunlinnotch.types import Seconds
--- a/dunlinnotch/coordination/drain.py
+++ b/dunlinnotch/coordination/requests/drain.py
@@ -15,8 +15,8 @@
 from dunlinnotch.state.schema import RunState
 
 if TYPE_CHECKING:
-    from dunlinnotch.coordination.gate import WorkGate
-    from dunlinnotch.coordination.membership import Membership
+    from dunlinnotch.coordination.membership.rows import Membership
+    from dunlinnotch.coordination.settings.gate import WorkGate
     from dunlinnotch.types import Clock, Seconds
 
 _log = logging.getLogger(__name__)
--- a/dunlinnotch/coordination/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.bodies import HeldBody
+from dunlinnotch.coordination.requests.bodies import HeldBody
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
 from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
@@ -25,9 +25,9 @@
     import random
     from collections.abc import AsyncIterator, Callable
 
-    from dunlinnotch.coordination.asking import Pick, TargetSeeker
-    from dunlinnotch.coordination.fresh import FreshChooser
-    from dunlinnotch.coordination.shares import RepeatShare
+    from dunlinnotch.coordination.budgets.shares import RepeatShare
+    from dunlinnotch.coordination.choosing.asking import Pick, TargetSeeker
+    from dunlinnotch.coordination.choosing.fresh import FreshChooser
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
--- a/dunlinnotch/coordination/router.py
+++ b/dunlinnotch/coordination/requests/router.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.limits import Ticket, TicketState
+from dunlinnotch.coordination.choosing.limits import Ticket, TicketState
 from dunlinnotch.protocol.attempt import (
     Answered,
     BodyCutError,
@@ -25,12 +25,12 @@
 from dunlinnotch.protocol.outcome import CallResult, Outcome, Reason
 
 if TYPE_CHECKING:
-    from dunlinnotch.coordination.choice import Choice
-    from dunlinnotch.coordination.gate import WorkGate
-    from dunlinnotch.coordination.limits import Grant
-    from dunlinnotch.coordination.once import OnceGuard
-    from dunlinnotch.coordination.pool import ServicePool
-    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.coordination.choosing.least_load import Choice
+    from dunlinnotch.coordination.choosing.limits import Grant
+    from dunlinnotch.coordination.choosing.pool import ServicePool
+    from dunlinnotch.coordination.requests.once import OnceGuard
+    from dunlinnotch.coordination.settings.gate import WorkGate
+    from dunlinnotch.coordination.settings.tree import SettingsHolder
     from dunlinnotch.protocol.attempt import (
         AttemptResult,
         CallerWatch,
--- a/dunlinnotch/coordination/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -14,7 +14,7 @@
     import random
     from collections.abc import Callable
 
-    from dunlinnotch.coordination.mesh import Mesh
+    from dunlinnotch.coordination.membership.mesh import Mesh
     from dunlinnotch.protocol.store import TableSource
     from dunlinnotch.state.followed import FollowedTable
 
--- a/dunlinnotch/coordination/gate.py
+++ b/dunlinnotch/coordination/settings/gate.py
@@ -9,8 +9,8 @@
 from dunlinnotch.state.schema import RunState
 
 if TYPE_CHECKING:
-    from dunlinnotch.coordination.membership import Membership
-    from dunlinnotch.coordination.settings import SettingsHolder
+    from dunlinnotch.coordination.membership.rows import Membership
+    from dunlinnotch.coordination.settings.tree import SettingsHolder
     from dunlinnotch.types import Clock
 
 #: When a caller refused by this box may come back to it.
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -11,13 +11,13 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.asking import AskPlan, TargetSeeker
-from dunlinnotch.coordination.beliefs import RoutesInForce, TargetsListed
-from dunlinnotch.coordination.following import TableFollower
-from dunlinnotch.coordination.forward import Forwarder
-from dunlinnotch.coordination.fresh import FreshChooser
-from dunlinnotch.coordination.mesh import DRAINING, RUNNING, Mesh
-from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.choosing.asking import AskPlan, TargetSeeker
+from dunlinnotch.coordination.choosing.fresh import FreshChooser
+from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, Mesh
+from dunlinnotch.coordination.requests.forward import Forwarder
+from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
+from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.daemon.figures import Figures
 from dunlinnotch.daemon.stop import StopPlan
 from dunlinnotch.errors import ProtocolError
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,18 +15,20 @@
 
 import pytest
 
-from dunlinnotch.coordination import once, probes, seats, settings
-from dunlinnotch.coordination.asking import TargetSeeker
-from dunlinnotch.coordination.beliefs import RoutesInForce, TargetsListed
-from dunlinnotch.coordination.drain import Drain
-from dunlinnotch.coordination.following import TableFollower
-from dunlinnotch.coordination.forward import Forwarder
-from dunlinnotch.coordination.gate import WorkGate
-from dunlinnotch.coordination.links import Links
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.mesh import STALE_S, Mesh
-from dunlinnotch.coordination.router import Router
-from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.budgets import probes, seats
+from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.choosing.asking import TargetSeeker
+from dunlinnotch.coordination.membership.links import Links
+from dunlinnotch.coordination.membership.mesh import STALE_S, Mesh
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.requests import once
+from dunlinnotch.coordination.requests.drain import Drain
+from dunlinnotch.coordination.requests.forward import Forwarder
+from dunlinnotch.coordination.requests.router import Router
+from dunlinnotch.coordination.settings import tree as settings
+from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
+from dunlinnotch.coordination.settings.following import TableFollower
+from dunlinnotch.coordination.settings.gate import WorkGate
 from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.protocol.answers import OnceKey, parse_once_key
 from dunlinnotch.protocol.attempt import Broken
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dunlinnotch.coordination.beliefs import LAPSE_S, RoutesInForce, TargetsListed
+from dunlinnotch.coordination.settings.beliefs import LAPSE_S, RoutesInForce, TargetsListed
 from dunlinnotch.errors import SettingsError
 from dunlinnotch.state.followed import TableRow
 from dunlinnotch.state.instances import InstanceList, ListedTarget
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from dunlinnotch.coordination.choice import Chooser, place_shares
-from dunlinnotch.coordination.subset import assign_subsets
+from dunlinnotch.coordination.choosing.least_load import Chooser, place_shares
+from dunlinnotch.coordination.choosing.subset import assign_subsets
 from dunlinnotch.state.targets import DOUBT_LIMIT, TargetRecord
 
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -1,6 +1,6 @@
 import random
 
-from dunlinnotch.coordination.directory import PoolDirectory
+from dunlinnotch.coordination.choosing.directory import PoolDirectory
 from dunlinnotch.state.tree import Change, Edit, SettingsTree
 from tests import FakeClock, box_row
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dunlinnotch.coordination.fresh import FRESH_S
+from dunlinnotch.coordination.choosing.fresh import FRESH_S
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault, WorkerSettings
 from tests.stream_world import (
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -5,9 +5,9 @@
 import asyncio
 import random
 
-from dunlinnotch.coordination import following
-from dunlinnotch.coordination.following import TableFollower
-from dunlinnotch.coordination.mesh import RUNNING, Mesh
+from dunlinnotch.coordination.membership.mesh import RUNNING, Mesh
+from dunlinnotch.coordination.settings import following
+from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.protocol.store import HistoryGone
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
--- a/tests/test_fresh.py
+++ b/tests/test_fresh.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from dunlinnotch.coordination.fresh import GOOD, FreshChooser, excess, expected_time
+from dunlinnotch.coordination.choosing.fresh import GOOD, FreshChooser, excess, expected_time
 from dunlinnotch.state.instances import Instance, ListedTarget, TargetReport
 
 NOW = 50.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from dunlinnotch.coordination.limits import Ticket, TicketState, WaitQueue
-from dunlinnotch.coordination.pool import ServicePool
-from dunlinnotch.coordination.retries import RetryBudget
+from dunlinnotch.coordination.budgets.retries import RetryBudget
+from dunlinnotch.coordination.choosing.limits import Ticket, TicketState, WaitQueue
+from dunlinnotch.coordination.choosing.pool import ServicePool
 from dunlinnotch.protocol.attempt import LoadReport
 from dunlinnotch.state.schema import Settings
 from dunlinnotch.state.targets import TargetRecord
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,8 +7,8 @@
 import pytest
 
 from benchmarks._boxes import PLACES, Boxes
-from dunlinnotch.coordination.links import FULL_MESH, NEAR_MOST, Links
-from dunlinnotch.coordination.mesh import STALE_S
+from dunlinnotch.coordination.membership.links import FULL_MESH, NEAR_MOST, Links
+from dunlinnotch.coordination.membership.mesh import STALE_S
 
 
 def near_names(boxes, mesh):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from dunlinnotch.coordination.gate import WorkGate
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.settings import SettingsHolder
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.settings.gate import WorkGate
+from dunlinnotch.coordination.settings.tree import SettingsHolder
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.protocol.platform import ListedBox
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,7 +8,7 @@
 import pytest
 
 from benchmarks._boxes import Clock
-from dunlinnotch.coordination.mesh import (
+from dunlinnotch.coordination.membership.mesh import (
     DRAINING,
     RUNNING,
     STALE_S,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,8 +8,8 @@
 
 from demo.fleet import wait_until
 from dunlinnotch import _codec
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.settings import SettingsHolder
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.settings.tree import SettingsHolder
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.state.tree import Change, Edit
 from dunlinnotch.transport.peers import PeerLinks, PeerServer
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from dunlinnotch.coordination.probes import ProbeBudget, probes_per_second
-from dunlinnotch.coordination.seats import SeatHolder
+from dunlinnotch.coordination.budgets.probes import ProbeBudget, probes_per_second
+from dunlinnotch.coordination.budgets.seats import SeatHolder
 from dunlinnotch.standins.platform import PlatformFaults
 from dunlinnotch.state.schema import Settings
 from tests import FakeClock, FakePlatform
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dunlinnotch.coordination.settings import SettingsEditor, SettingsFollower, SettingsHolder
+from dunlinnotch.coordination.settings.tree import SettingsEditor, SettingsFollower, SettingsHolder
 from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.protocol.outcome import EditStatus
 from dunlinnotch.standins.platform import PlatformFaults
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dunlinnotch.coordination.shares import ProbeShare, RepeatShare
+from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
 
 
 class Now:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from dunlinnotch.coordination.membership import Membership
-from dunlinnotch.coordination.settings import SettingsHolder
-from dunlinnotch.coordination.steering import Steering
+from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.membership.steering import Steering
+from dunlinnotch.coordination.settings.tree import SettingsHolder
 from dunlinnotch.protocol.answers import parse_once_key
 from dunlinnotch.protocol.peers import LinkState, Sync
 from dunlinnotch.state.schema import RunState
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field, replace
 
 from dunlinnotch import _codec
+from dunlinnotch.coordination.budgets.seats import SeatValue
 from dunlinnotch.coordination.core import BoxCore, Timing
-from dunlinnotch.coordination.seats import SeatValue
 from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.protocol.attempt import (
     Answered,
