--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -25,6 +25,11 @@
         assert {word.place for word in mesh.others()} == set(PLACES)
 
 
+def test_boxes_that_hear_a_part_of_their_place_know_how_many_there_are():
+    boxes = Boxes(250).settled()
+    assert {mesh.most_boxes for mesh in boxes.meshes.values()} == {250}
+
+
 @pytest.mark.parametrize("lost", [0.0, 0.05])
 def test_news_reaches_every_box_within_two_turns(lost):
     boxes = Boxes(142, lost=lost).settled()
