--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -1,14 +1,11 @@
-"""Connections to targets: one request at a time on each, answers told apart by id."""
+"""Send requests to targets and probe them; answers are told apart by id."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import httptools
-
 from dunlinnotch.protocol.attempt import BodyCutError
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.protocol.relay import (
@@ -19,368 +16,30 @@
     NotSent,
     Verdict,
 )
-from dunlinnotch.state.heads import AnswerHead, Header
-from dunlinnotch.transport.stream.common import BODY_AHEAD, WriteGate, find, request_head
+from dunlinnotch.transport.stream.common import request_head
+from dunlinnotch.transport.stream.link_pool import LinkPool
+from dunlinnotch.transport.stream.target_link import (
+    IDLE_MOST_S,
+    Incoming,
+    LinkBrokenError,
+    TargetLink,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, RelayBody, TargetDialect
+    from dunlinnotch.state.heads import AnswerHead
     from dunlinnotch.types import Address, Seconds
 
-#: Longest wait for a new connection, in seconds.
-CONNECT_S = 0.6
-#: An idle connection is used for at most this long, whatever the target allows.
-_IDLE_MOST_S = 8.0
 #: For what may run only once, a connection is used if it has rested for at most this long.
 _RESTED_ONCE_S = 1.0
-#: A connection is given up so long before its target would close it.
-_IDLE_MARGIN_S = 1.0
-_HEADERS_MAX = 200
 
 
 class _CallerBodyError(Exception):
     """The caller's body broke off while it was being sent on."""
 
 
-class LinkBrokenError(Exception):
-    """A connection ended, or what came on it is no answer."""
-
-
-class Incoming:
-    """One answer as it comes in."""
-
-    def __init__(self, link: TargetLink) -> None:
-        self.link = link
-        self.status = 0
-        self.phrase = ""
-        self.headers: list[Header] = []
-        self.length: int | None = None
-        self.until_end = False
-        self.done = False
-        self.error = ""
-        self._parts: deque[bytes] = deque()
-        self._held = 0
-        self._news = asyncio.Event()
-
-    @property
-    def head(self) -> AnswerHead:
-        """The answer's head."""
-        return AnswerHead(self.status, self.phrase, tuple(self.headers), self.length)
-
-    def feed(self, part: bytes) -> None:
-        """Take in a part of the body."""
-        self._parts.append(part)
-        self._held += len(part)
-        if self._held > BODY_AHEAD:
-            self.link.pause_reading()
-        self._news.set()
-
-    def end(self, error: str = "") -> None:
-        """Note the end of the body, clean or not."""
-        self.done = not error
-        self.error = error
-        self._news.set()
-
-    async def parts(self) -> AsyncIterator[bytes]:
-        """Yield the body.
-
-        Raises
-        ------
-        BodyCutError
-            If it ends early.
-        """
-        while True:
-            while self._parts:
-                part = self._parts.popleft()
-                self._held -= len(part)
-                if self._held <= BODY_AHEAD:
-                    self.link.resume_reading()
-                yield part
-            if self.error:
-                raise BodyCutError(self.error)
-            if self.done:
-                return
-            self._news.clear()
-            await self._news.wait()
-
-    async def skip(self) -> None:
-        """Read the body to its end and drop it."""
-        async for _ in self.parts():
-            pass
-
-
-class TargetLink(asyncio.Protocol):
-    """One connection to a target."""
-
-    def __init__(self, address: Address) -> None:
-        self.address = address
-        self.gate = WriteGate()
-        self.closed = False
-        self.spoiled = False
-        self.used = 0
-        self.idle_until: Seconds = 0.0
-        self.busy = True
-        self.head_only = False
-        self._keep_s = _IDLE_MOST_S
-        self._rested_at: Seconds = 0.0
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._reading: Incoming | None = None
-        self._heads: deque[Incoming] = deque()
-        self._news = asyncio.Event()
-        self._paused = False
-        self._fault = ""
-
-    # -- from the transport
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End what is being read."""
-        self._end(f"the connection was lost: {exc}" if exc else "the target closed its connection")
-        self.gate.resume()
-
-    def eof_received(self) -> bool:
-        """End an answer that has no other end."""
-        if self._reading is not None and self._reading.until_end:
-            self._reading.end()
-            self._reading = None
-        return False
-
-    def pause_writing(self) -> None:
-        """Make writers wait."""
-        self.gate.pause()
-
-    def resume_writing(self) -> None:
-        """Let writers go on."""
-        self.gate.resume()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what came; bytes that nobody waits for end the connection."""
-        if self.closed:
-            return
-        if not self.busy:
-            self.abort()
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._end(f"no HTTP answer: {error}")
-            self.abort()
-
-    def _end(self, fault: str) -> None:
-        self._fault = self._fault or fault
-        self.closed = True
-        if self._reading is not None:
-            self._reading.end(self._fault)
-            self._reading = None
-        self._news.set()
-
-    # -- from the parser
-
-    def on_message_begin(self) -> None:
-        """Begin an answer."""
-        self._begun = Incoming(self)
-
-    def on_status(self, status: bytes) -> None:
-        """Take the phrase."""
-        self._begun.phrase += status.decode("latin-1")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
-        if len(self._begun.headers) < _HEADERS_MAX:
-            header = Header(name.decode("latin-1"), value.decode("latin-1"))
-            self._begun.headers.append(header)
-
-    def on_headers_complete(self) -> None:
-        """Hand the head to whoever waits for it."""
-        incoming = self._begun
-        incoming.status = self._parser.get_status_code()
-        if incoming.status < 200:
-            self._reading = None
-            return
-        length = find(incoming.headers, "content-length")
-        chunked = find(incoming.headers, "transfer-encoding") is not None
-        incoming.length = None if chunked or length is None else int(length)
-        bodiless = incoming.status in (204, 304)
-        incoming.until_end = not chunked and length is None and not bodiless
-        self._read_keep_alive(incoming)
-        self._heads.append(incoming)
-        self._reading = incoming
-        if self.head_only:
-            self.spoiled = True
-            incoming.end()
-            self._reading = None
-        self._news.set()
-
-    def _read_keep_alive(self, incoming: Incoming) -> None:
-        if incoming.until_end or not self._parser.should_keep_alive():
-            self.spoiled = True
-        stated = find(incoming.headers, "keep-alive") or ""
-        for token in stated.split(","):
-            name, _, value = token.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self._keep_s = min(_IDLE_MOST_S, max(0.0, int(value) - _IDLE_MARGIN_S))
-
-    def on_body(self, body: bytes) -> None:
-        """Hand a part of the body on."""
-        if self._reading is not None:
-            self._reading.feed(body)
-
-    def on_message_complete(self) -> None:
-        """End the answer."""
-        if self._reading is not None:
-            self._reading.end()
-            self._reading = None
-
-    # -- for attempts
-
-    def write(self, data: bytes) -> None:
-        """Write without waiting."""
-        if self._transport is not None and not self.closed:
-            self._transport.write(data)
-
-    async def next_answer(self) -> Incoming:
-        """Return the next answer whose head has come.
-
-        Raises
-        ------
-        LinkBrokenError
-        """
-        while not self._heads:
-            if self.closed:
-                raise LinkBrokenError(self._fault)
-            self._news.clear()
-            await self._news.wait()
-        return self._heads.popleft()
-
-    def pause_reading(self) -> None:
-        """Stop taking bytes."""
-        if not self._paused and self._transport is not None and not self.closed:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Take bytes again."""
-        if self._paused and self._transport is not None and not self.closed:
-            self._paused = False
-            self._transport.resume_reading()
-
-    def abort(self) -> None:
-        """Close at once, so that the target drops what it works on."""
-        self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
-
-    def close(self) -> None:
-        """Close."""
-        self.closed = True
-        if self._transport is not None:
-            self._transport.close()
-
-    def rest(self, now: Seconds) -> bool:
-        """Become idle; return False if the connection can't be used again."""
-        if self.closed or self.spoiled or self._reading is not None or self._heads:
-            return False
-        self.busy = False
-        self._rested_at = now
-        self.idle_until = now + self._keep_s
-        return True
-
-    def take(self, now: Seconds, *, rested_most: Seconds) -> bool:
-        """Become busy again; return False if the connection has rested too long."""
-        if self.closed or now >= self.idle_until or now - self._rested_at > rested_most:
-            return False
-        self.busy = True
-        self.used += 1
-        return True
-
-
-class LinkPool:
-    """All connections to one target.
-
-    Parameters
-    ----------
-    address : str
-    most : int
-        Connections that may be open at once.
-    """
-
-    def __init__(self, address: Address, *, most: int) -> None:
-        self.address = address
-        self.most = most
-        self.open: set[TargetLink] = set()
-        self.opened = 0
-        self._idle: list[TargetLink] = []
-        self._loop = asyncio.get_running_loop()
-
-    async def take(self, *, rested_most: Seconds = _IDLE_MOST_S) -> TargetLink | NotSent:
-        """Return an idle connection, the last used first, or open one.
-
-        Parameters
-        ----------
-        rested_most : float, optional
-            Seconds that the connection may have been idle.
-        """
-        while self._idle:
-            link = self._idle.pop()
-            if link.take(self._loop.time(), rested_most=rested_most):
-                return link
-            self._drop(link)
-        return await self.connect()
-
-    async def connect(self) -> TargetLink | NotSent:
-        """Open a connection."""
-        self._forget_closed()
-        if len(self.open) >= self.most:
-            return NotSent(Reason.CONNECT_FAILED, f"all {self.most} connections are in use")
-        host, _, port = self.address.rpartition(":")
-        link = TargetLink(self.address)
-        self.open.add(link)
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                await self._loop.create_connection(lambda: link, host, int(port))
-        except (OSError, TimeoutError) as error:
-            self.open.discard(link)
-            return NotSent(Reason.CONNECT_FAILED, f"{type(error).__name__}: {error}")
-        except asyncio.CancelledError:
-            self.open.discard(link)
-            raise
-        self.opened += 1
-        return link
-
-    def give_back(self, link: TargetLink) -> None:
-        """Keep a connection for later if it can be used again, else close it."""
-        if link.rest(self._loop.time()):
-            self._idle.append(link)
-        else:
-            self._drop(link)
-
-    def discard(self, link: TargetLink) -> None:
-        """Close a connection at once."""
-        link.abort()
-        self.open.discard(link)
-
-    def close(self) -> None:
-        """Close the idle connections; busy ones end with their request."""
-        for link in self._idle:
-            self._drop(link)
-        self._idle.clear()
-
-    def _drop(self, link: TargetLink) -> None:
-        link.close()
-        self.open.discard(link)
-
-    def _forget_closed(self) -> None:
-        for link in [link for link in self.open if link.closed]:
-            self.open.discard(link)
-        self._idle = [link for link in self._idle if not link.closed]
-
-
 class LinkAnswer:
     """An answer under way on a connection."""
 
@@ -504,7 +163,7 @@
                     break
             report = self._dialect.report(incoming.head)
             done = True
-            if link.spoiled or link.closed:
+            if link.spoiled or link.over:
                 pool.give_back(link)
                 return Asked(instance, incoming.status == 200, report)
             return Asked(instance, incoming.status == 200, report, link=link)
@@ -550,8 +209,8 @@
         link = asked.link if asked is not None else None
         if asked is not None:
             asked.link = None
-        if not isinstance(link, TargetLink) or link.closed:
-            most = _RESTED_ONCE_S if once else _IDLE_MOST_S
+        if not isinstance(link, TargetLink) or link.over:
+            most = _RESTED_ONCE_S if once else IDLE_MOST_S
             taken = await pool.take(rested_most=most)
             if isinstance(taken, NotSent):
                 return taken
@@ -635,7 +294,7 @@
 
 async def _send_body(link: TargetLink, body: RelayBody, *, chunked: bool) -> None:
     async for part in body.parts():
-        if link.closed:
+        if link.over:
             return
         link.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
         await link.gate.wait()
--- a/dunlinnotch/transport/stream/common.py
+++ b/dunlinnotch/transport/stream/common.py
@@ -15,9 +15,6 @@
 
     from dunlinnotch.state.heads import Header
 
-#: Bytes of a body held before the sender is made to wait.
-BODY_AHEAD = 64 * 1024
-
 _PHRASES = {
     200: "OK",
     204: "No Content",
--- a/dunlinnotch/transport/stream/fetch.py
+++ b/dunlinnotch/transport/stream/fetch.py
@@ -9,8 +9,9 @@
 from dunlinnotch.protocol.attempt import BodyCutError
 from dunlinnotch.protocol.relay import NotSent
 from dunlinnotch.state.heads import Header
-from dunlinnotch.transport.stream.client import LinkBrokenError, LinkPool
 from dunlinnotch.transport.stream.common import request_head
+from dunlinnotch.transport.stream.link_pool import LinkPool
+from dunlinnotch.transport.stream.target_link import LinkBrokenError
 
 if TYPE_CHECKING:
     from dunlinnotch.types import Address, Seconds
--- /dev/null
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -0,0 +1,97 @@
+"""All connections of this box to one target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from dunlinnotch.protocol.outcome import Reason
+from dunlinnotch.protocol.relay import NotSent
+from dunlinnotch.transport.stream.target_link import IDLE_MOST_S, TargetLink
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Address, Seconds
+
+#: Longest wait for a new connection, in seconds.
+_CONNECT_S = 0.6
+
+
+class LinkPool:
+    """All connections to one target.
+
+    Parameters
+    ----------
+    address : str
+    most : int
+        Connections that may be open at once.
+    """
+
+    def __init__(self, address: Address, *, most: int) -> None:
+        self.address = address
+        self.most = most
+        self.open: set[TargetLink] = set()
+        self.opened = 0
+        self._idle: list[TargetLink] = []
+        self._loop = asyncio.get_running_loop()
+
+    async def take(self, *, rested_most: Seconds = IDLE_MOST_S) -> TargetLink | NotSent:
+        """Return an idle connection, the last used first, or open one.
+
+        Parameters
+        ----------
+        rested_most : float, optional
+            Seconds that the connection may have been idle.
+        """
+        while self._idle:
+            link = self._idle.pop()
+            if link.take(self._loop.time(), rested_most=rested_most):
+                return link
+            self._drop(link)
+        return await self.connect()
+
+    async def connect(self) -> TargetLink | NotSent:
+        """Open a connection."""
+        self._forget_closed()
+        if len(self.open) >= self.most:
+            return NotSent(Reason.CONNECT_FAILED, f"all {self.most} connections are in use")
+        host, _, port = self.address.rpartition(":")
+        link = TargetLink(self.address)
+        self.open.add(link)
+        try:
+            async with asyncio.timeout(_CONNECT_S):
+                await self._loop.create_connection(lambda: link, host, int(port))
+        except (OSError, TimeoutError) as error:
+            self.open.discard(link)
+            return NotSent(Reason.CONNECT_FAILED, f"{type(error).__name__}: {error}")
+        except asyncio.CancelledError:
+            self.open.discard(link)
+            raise
+        self.opened += 1
+        return link
+
+    def give_back(self, link: TargetLink) -> None:
+        """Keep a connection for later if it can be used again, else close it."""
+        if link.rest(self._loop.time()):
+            self._idle.append(link)
+        else:
+            self._drop(link)
+
+    def discard(self, link: TargetLink) -> None:
+        """Close a connection at once."""
+        link.abort()
+        self.open.discard(link)
+
+    def close(self) -> None:
+        """Close the idle connections; busy ones end with their request."""
+        for link in self._idle:
+            self._drop(link)
+        self._idle.clear()
+
+    def _drop(self, link: TargetLink) -> None:
+        link.close()
+        self.open.discard(link)
+
+    def _forget_closed(self) -> None:
+        for link in [link for link in self.open if link.over]:
+            self.open.discard(link)
+        self._idle = [link for link in self._idle if not link.over]
--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -12,7 +12,8 @@
 
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.state.heads import Header
-from dunlinnotch.transport.stream.common import BODY_AHEAD, WriteGate, answer_head, find
+from dunlinnotch.transport.stream.common import answer_head, find
+from dunlinnotch.transport.stream.link import BodyQueue, StreamLink
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
@@ -80,11 +81,8 @@
         self.arrived = arrived
         self.keep_alive = True
         self.error: int = 0
-        self._parts: deque[bytes] = deque()
-        self._held = 0
+        self._body = BodyQueue(link)
         self._received = 0
-        self._body_done = False
-        self._body_news = asyncio.Event()
         self._begun = False
         self._ended = False
         self._chunked = False
@@ -99,22 +97,22 @@
         """Take in a part of the body."""
         self._received += len(part)
         if self._received > self._link.server.limits.body_bytes:
-            self.error = self.error or 413
-        self._parts.append(part)
-        self._held += len(part)
-        if self._held > BODY_AHEAD:
-            self._link.pause_reading()
-        self._body_news.set()
+            self.refuse(413)
+        self._body.put(part)
 
     def feed_end(self) -> None:
         """Note the end of the body."""
-        self._body_done = True
-        self._body_news.set()
+        self._body.end()
+
+    def refuse(self, status: int) -> None:
+        """Note that the request can't be taken; the first reason counts."""
+        self.error = self.error or status
+        self._body.fail(f"the body can't be taken (status {self.error})")
 
     @property
     def body_done(self) -> bool:
         """Whether the whole request has been received."""
-        return self._body_done
+        return self._body.done
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the request's body.
@@ -124,27 +122,15 @@
         BodyCutError
             If it is longer than allowed or breaks its framing.
         """
-        if not self._body_done and (self.header("expect") or "").lower() == "100-continue":
+        if not self.body_done and (self.header("expect") or "").lower() == "100-continue":
             self._link.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        while True:
-            while self._parts:
-                part = self._parts.popleft()
-                self._held -= len(part)
-                if self._held <= BODY_AHEAD:
-                    self._link.resume_reading()
-                yield part
-            if self.error:
-                msg = f"the body can't be taken (status {self.error})"
-                raise BodyCutError(msg)
-            if self._body_done:
-                return
-            self._body_news.clear()
-            await self._body_news.wait()
+        async for part in self._body.parts():
+            yield part
 
     async def discard_body(self) -> bool:
         """Read what is left of the body; return whether its end came in time."""
-        if self._body_done:
-            self._parts.clear()
+        if self.body_done:
+            self._body.drop()
             return not self.error
         try:
             async with asyncio.timeout(_DISCARD_S):
@@ -185,7 +171,7 @@
         ------
         CallerGoneError
         """
-        if self._link.gone:
+        if self._link.over:
             msg = "the caller has closed its connection"
             raise CallerGoneError(msg)
         if part:
@@ -228,20 +214,17 @@
         self.keep_alive = False
 
 
-class ServerLink(asyncio.Protocol):
+class ServerLink(StreamLink):
     """One caller's connection."""
 
     def __init__(self, server: StreamServer) -> None:
+        super().__init__()
         self.server = server
-        self.gate = WriteGate()
-        self.gone = False
-        self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reading: Exchange | None = None
         self._waiting: deque[Exchange] = deque()
         self._news = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        self._paused = False
         self._head_size = 0
         self._head_started: Seconds | None = None
         self._broken = False
@@ -251,14 +234,13 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the connection's task."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        super().connection_made(transport)
         self.server.links.add(self)
         self._task = self.server.loop.create_task(self._serve())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what runs for a caller that has gone."""
-        self.gone = True
+        self.over = True
         self.server.links.discard(self)
         self.gate.resume()
         if self._task is not None:
@@ -268,14 +250,6 @@
         """Close: a caller that ends its side has left."""
         return False
 
-    def pause_writing(self) -> None:
-        """Make writers wait."""
-        self.gate.pause()
-
-    def resume_writing(self) -> None:
-        """Let writers go on."""
-        self.gate.resume()
-
     def data_received(self, data: bytes) -> None:
         """Parse what came."""
         if self._broken:
@@ -298,7 +272,7 @@
         if exchange is None:
             exchange = Exchange(self, self.server.loop.time())
             self._waiting.append(exchange)
-        exchange.error = exchange.error or status
+        exchange.refuse(status)
         exchange.keep_alive = False
         exchange.feed_end()
         self._reading = None
@@ -321,10 +295,10 @@
         """Take one header."""
         header = Header(name.decode("latin-1"), value.decode("latin-1"))
         if len(self._begun.headers) >= _HEADERS_MAX:
-            self._begun.error = 431
+            self._begun.refuse(431)
             return
         if header.name.lower() == "host" and self._begun.header("host") is not None:
-            self._begun.error = 400
+            self._begun.refuse(400)
         self._begun.headers.append(header)
 
     def on_headers_complete(self) -> None:
@@ -337,11 +311,11 @@
         if coding is not None:
             exchange.length = None
             if coding.strip().lower() != "chunked":
-                exchange.error = 400
+                exchange.refuse(400)
         else:
             exchange.length = int(exchange.header("content-length") or 0)
         if (exchange.length or 0) > self.server.limits.body_bytes:
-            exchange.error = 413
+            exchange.refuse(413)
         self._reading = exchange
         self._head_size = 0
         self._head_started = None
@@ -366,23 +340,6 @@
         """Whether the connection is to be closed after the answer under way."""
         return self.server.closing or self._broken
 
-    def write(self, data: bytes) -> None:
-        """Write without waiting."""
-        if self._transport is not None and not self.gone:
-            self._transport.write(data)
-
-    def pause_reading(self) -> None:
-        """Stop taking bytes from the caller."""
-        if not self._paused and self._transport is not None and not self.gone:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Take bytes from the caller again."""
-        if self._paused and self._transport is not None and not self.gone:
-            self._paused = False
-            self._transport.resume_reading()
-
     @property
     def remote(self) -> str:
         """The caller's IP number."""
@@ -391,7 +348,7 @@
 
     def abort(self) -> None:
         """Reset the connection rather than end it."""
-        if self._transport is None or self.gone:
+        if self._transport is None or self.over:
             return
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
@@ -414,7 +371,7 @@
                 if not exchange.keep_alive or self.closing or not exchange.ended:
                     break
         except asyncio.CancelledError:
-            if not self.gone:
+            if not self.over:
                 raise
         finally:
             self.close()
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -207,3 +207,19 @@
                 open_writer.close()
 
     run(test)
+
+
+def test_a_caller_that_asks_first_is_told_to_go_on():
+    async def test():
+        async with Served() as served:
+            reader, writer = await served.connect()
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+            )
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"ab")
+            assert (await read_answer(reader)).status == 200
+            assert served.bodies == [b"ab"]
+            writer.close()
+
+    run(test)
