Give what is in flight its final answer before the box ends

Change: shortly before its end a stopping box answers 504 what may have run and 503 what has not, with when to come back. The stopped line tells how many were given_up (was cut). tests/test_entry.py failed first, with the caller cut off.

Ruled out: giving up sooner (a worker may still be at work; an end of ours in its place counts as much as a cut).

--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -83,7 +83,7 @@
     end: str = ""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Run:
     """One request under way."""
 
@@ -97,6 +97,8 @@
     sends: int = 0
     may_have_run: bool = False
     counted: bool = False
+    stopping: bool = False
+    scope: asyncio.Timeout | None = None
     tries: list[_Try] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
 
@@ -153,7 +155,19 @@
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
         self._usual: dict[str, Seconds] = {}
-        self.in_flight = 0
+        self._running: set[_Run] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return len(self._running)
+
+    def give_up_all(self) -> None:
+        """Give each request under way its final answer now: the box ends."""
+        for run in self._running:
+            run.stopping = True
+            if run.scope is not None:
+                run.scope.reschedule(self._loop.time())
 
     def repeats(self, service: str) -> RepeatShare:
         """Return the repeat budget of a service."""
@@ -177,14 +191,14 @@
     ) -> Ending:
         """Serve one request; cancelled when its caller has gone."""
         run = _Run(request, HeldBody(parts), reply, point=0.0)
-        self.in_flight += 1
+        self._running.add(run)
         try:
             ending = await self._matched(run)
         except asyncio.CancelledError:
             self._log_end(run, Ending(Outcome.UNKNOWN, 0, Reason.CALLER_GONE, "the caller left"))
             raise
         finally:
-            self.in_flight -= 1
+            self._running.discard(run)
         self._log_end(run, ending)
         return ending
 
@@ -200,7 +214,7 @@
         until = min(request.deadline, request.arrived + run.kind.timeout)
         ending: Ending | None = None
         try:
-            async with asyncio.timeout_at(until):
+            async with asyncio.timeout_at(until) as run.scope:
                 await run.body.hold(_HOLD)
                 ending = await self._attempts(run)
         except TimeoutError:
@@ -234,6 +248,10 @@
 
     @staticmethod
     def _out_of_time(run: _Run) -> Ending:
+        if run.stopping and run.may_have_run:
+            return Ending(Outcome.UNKNOWN, 504, Reason.BOX_DRAINED, "no answer before the box ends")
+        if run.stopping:
+            return Ending(Outcome.NOT_RUN, 503, Reason.BOX_DRAINED, "no target before the box ends")
         if run.may_have_run:
             return Ending(Outcome.UNKNOWN, 504, Reason.DEADLINE_EXPIRED, "no answer in time")
         return Ending(Outcome.NOT_RUN, 503, Reason.DEADLINE_EXPIRED, "no target in time")
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -336,10 +336,13 @@
         while self.forwarder.in_flight and self._loop.time() - began < plan.end:
             await asyncio.sleep(_LOOK_S / 2)
         left = self.forwarder.in_flight
+        # A target that says nothing is no reason to leave a caller without an answer.
+        self.forwarder.give_up_all()
+        await asyncio.sleep(plan.last)
         for server in (self._front, *self._servers):
             await server.close()
         self._table_port.close()
-        event(_log, "stopped", box=self.mesh.name, cut=left)
+        event(_log, "stopped", box=self.mesh.name, given_up=left)
 
     # -- requests
 
--- a/dunlinnotch/daemon/stop.py
+++ b/dunlinnotch/daemon/stop.py
@@ -9,8 +9,8 @@
     from dunlinnotch.types import Seconds
 
 #: Parts of the grace after which the box takes no new work, closes idle
-#: connections, and ends whatever is left.
-_REFUSE, _CLOSE, _END = 0.5, 0.75, 0.95
+#: connections, gives a last answer to whatever is left, and the time for that to go out.
+_REFUSE, _CLOSE, _END, _LAST = 0.5, 0.75, 0.94, 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,14 +26,17 @@
         The box listens no more, closes idle connections, and ends as soon as
         nothing is in flight.
     end : float
-        The box ends, whatever is in flight.
+        The box ends; what is in flight gets its final answer.
+    last : float
+        Time for those answers to go out.
     """
 
     refuse: Seconds
     close: Seconds
     end: Seconds
+    last: Seconds
 
     @classmethod
     def within(cls, grace: Seconds) -> StopPlan:
         """Return the plan for a platform that kills after ``grace``."""
-        return cls(grace * _REFUSE, grace * _CLOSE, grace * _END)
+        return cls(grace * _REFUSE, grace * _CLOSE, grace * _END, grace * _LAST)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -342,3 +342,30 @@
             assert world.ran == ["held"]
 
     run(test)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("POST", "/lend/", 504), ("GET", "/read/", 504)],
+)
+def test_a_target_that_says_nothing_leaves_no_caller_without_an_answer_at_a_stop(
+    method, path, status
+):
+    """ikenga-gate-grown scale-2: LOST.
+
+    A worker that never answers what it can't queue held an upload without a
+    time-out; the box ended and cut it off without a word.
+    """
+
+    async def test():
+        async with stream_world(boxes=0) as world:
+            box = await world.add_box(grace=1.0)
+            world.workers[0].hold = asyncio.Event()
+            body = b"x" if method == "POST" else b""
+            held = asyncio.create_task(call(box, path, "mute", method=method, body=body))
+            await until(lambda: world.ran == ["mute"])
+            box.ask_to_stop()
+            assert (await held).status == status
+            await world.tasks[0]
+
+    run(test)
