A place in a target's queue is taken only by what ends in its target latency

Change: where a request would wait behind others, it must be expected to end within its kind's target latency; a slow target with a free slot is still taken by what ends before the time-out. tests/test_asking.py failed first.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -109,6 +109,7 @@
         tried: Collection[str],
         give_up: Seconds,
         most: float = math.inf,
+        most_waiting: float = math.inf,
     ) -> Pick | None:
         """Return a target for one request, or None if there is none in time.
 
@@ -124,6 +125,9 @@
         most : float, optional
             Greatest expected time, as a multiple of the usual one, at which the
             request still ends in time.
+        most_waiting : float, optional
+            The same for a target where it has to wait for others: a place in a queue
+            that ends late would make those behind it late too.
         """
         while True:
             pick = self._known_good(service, tried) or await self._ask_round(service, tried)
@@ -132,17 +136,22 @@
             if pick is not None:
                 if self._chooser.good(pick.instance, now):
                     return pick
-                if last_chance and self._bearable(pick.instance, rank, most, now):
+                if last_chance and self._bearable(pick.instance, rank, (most, most_waiting), now):
                     return pick
                 self.release(pick)
             if last_chance:
                 return None
             await asyncio.sleep(_PAUSE_S * (0.7 + 0.6 * self._rng.random()))
 
-    def _bearable(self, instance: Instance, rank: int, most: float, now: Seconds) -> bool:
+    def _bearable(
+        self, instance: Instance, rank: int, most: tuple[float, float], now: Seconds
+    ) -> bool:
         """Return whether a request may be sent to a target that is not good."""
+        expected = self._chooser.expected(instance, now)
+        if excess(instance) <= 0:
+            return expected <= most[0]
         wait = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
-        return excess(instance) <= wait and self._chooser.expected(instance, now) <= most
+        return excess(instance) <= wait and expected <= min(most)
 
     def release(self, pick: Pick) -> None:
         """Give back a target that is not used."""
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -424,15 +424,16 @@
             rank=kind.rank,
             tried=run.tried,
             give_up=since + kind.target_latency * _WAIT_SHARE,
-            most=self._most_expected(run, kind),
+            most=self._most_expected(run, kind, kind.timeout),
+            most_waiting=self._most_expected(run, kind, kind.target_latency),
         )
 
-    def _most_expected(self, run: _Run, kind: RequestKind) -> float:
-        """Return how many usual times of its kind a request has left."""
+    def _most_expected(self, run: _Run, kind: RequestKind, within: Seconds) -> float:
+        """Return how many usual times of its kind a request has left to end within a time."""
         usual = self._usual.get(kind.name)
         if usual is None:
             return math.inf
-        until = min(run.request.deadline, run.request.arrived + kind.timeout)
+        until = min(run.request.deadline, run.request.arrived + within)
         return max(0.0, until - self._loop.time()) / usual
 
     def _note_usual(self, run: _Run, kind: RequestKind) -> None:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -6,6 +6,8 @@
 import logging
 import random
 
+import pytest
+
 from dunlinnotch.coordination.budgets.shares import ProbeShare
 from dunlinnotch.coordination.choosing.asking import AskPlan, TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
@@ -14,22 +16,23 @@
 
 
 class Targets:
-    """Targets that answer probes at once, each with its slowness."""
+    """Targets that answer probes at once, each with its slowness and so many running."""
 
-    def __init__(self, slowness):
+    def __init__(self, slowness, running=0):
         self.slowness = slowness
+        self.running = running
         self.asked = []
 
     async def ask(self, address, path):
         name = address.partition(":")[0]
         self.asked.append(name)
-        return Asked(name, True, TargetReport(0, 0, 3, self.slowness.get(name, 1.0)), "")
+        return Asked(name, True, TargetReport(self.running, 0, 3, self.slowness.get(name, 1.0)), "")
 
     def release(self, address, asked):
         pass
 
 
-def seek(names, *, probes_per_s, times, slowness=None):
+def seek(names, *, probes_per_s, times, slowness=None, running=0, **limits):
     """Look for a target some times, without a pause; return picks and probes sent."""
 
     async def bounded():
@@ -37,7 +40,7 @@
         for place, name in names:
             listed = ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0)
             instances.take(listed, 0.0)
-        targets = Targets(slowness or {})
+        targets = Targets(slowness or {}, running)
         probes = ProbeShare(probes_per_s, clock=lambda: 100.0)
         rng = random.Random(1)
         seeker = TargetSeeker(
@@ -55,7 +58,7 @@
             # What was heard before is as good as forgotten.
             for instance in instances.all():
                 instance.reported_at = -1e9
-            picks.append(await seeker.choose("s", rank=0, tried=(), give_up=0.0))
+            picks.append(await seeker.choose("s", rank=0, tried=(), give_up=0.0, **limits))
         return [pick and (pick.instance.name, pick.why) for pick in picks], targets.asked
 
     return asyncio.run(bounded())
@@ -89,3 +92,28 @@
     picks, asked = seek(NEAR[:2] + FAR, probes_per_s=60.0, times=1, slowness=slow)
     assert len(asked) == 4
     assert picks[0][0].startswith("far")
+
+
+@pytest.mark.parametrize(
+    ("running", "slowness", "limits", "taken"),
+    [
+        (3, 1.0, {"most": 9.0, "most_waiting": 3.0}, True),
+        (3, 1.0, {"most": 9.0, "most_waiting": 2.0}, False),
+        (0, 7.0, {"most": 9.0, "most_waiting": 2.0}, True),
+        (0, 7.0, {"most": 6.0, "most_waiting": 9.0}, False),
+        (3, 1.0, {"most": 2.0, "most_waiting": 9.0}, False),
+    ],
+)
+def test_a_place_in_a_queue_is_taken_only_by_what_ends_in_its_target_latency(
+    running, slowness, limits, taken
+):
+    """ikenga-gate-grown scale-2: everybody waited, so nobody was in time."""
+    picks, _ = seek(
+        NEAR[:1],
+        probes_per_s=60.0,
+        times=1,
+        slowness={"near-0": slowness},
+        running=running,
+        **limits,
+    )
+    assert (picks[0] is not None) is taken
