--- a/dunlinnotch/lab/day.py
+++ b/dunlinnotch/lab/day.py
@@ -86,6 +86,7 @@
     targets: int = Field(ge=1, le=200, description="How many there are.")
     slots: int = Field(3, ge=1, le=1000, description="Requests that each works on at once.")
     queue: int = Field(6, ge=0, le=10000, description="Requests that may wait at each.")
+    hangs: bool = Field(False, description="Whether it never answers what it can't queue.")
 
 
 class KindPlan(_Part):
--- a/dunlinnotch/lab/draw.py
+++ b/dunlinnotch/lab/draw.py
@@ -10,6 +10,8 @@
 #: Troubles begin between these moments of the day, in seconds.
 _FIRST_S, _LAST_S = 1.0, 9.0
 _TROUBLES = (2, 5)
+#: Share of the services whose targets never answer what they can't queue.
+_HANGS = 0.3
 _STRENGTH = {
     TroubleKind.BURST: (1.3, 2.0),
     TroubleKind.TARGET_SLOW: (3.0, 12.0),
@@ -36,8 +38,8 @@
         length_s=_LENGTH_S,
         boxes=rng.randint(4, 8),
         services=(
-            ServicePlan(name="records", targets=rng.randint(6, 10), slots=rng.choice((3, 6))),
-            ServicePlan(name="uploads", targets=rng.randint(2, 4), slots=rng.choice((3, 6))),
+            _draw_service("records", (6, 10), rng),
+            _draw_service("uploads", (2, 4), rng),
         ),
         kinds=(
             KindPlan(name="lookup", service="records", repeatable=True, per_s=60, rank=2),
@@ -57,6 +59,16 @@
     )
 
 
+def _draw_service(name: str, targets: tuple[int, int], rng: random.Random) -> ServicePlan:
+    return ServicePlan(
+        name=name,
+        targets=rng.randint(*targets),
+        slots=rng.choice((3, 6)),
+        queue=rng.choice((0, 6)),
+        hangs=rng.random() < _HANGS,
+    )
+
+
 def _draw_trouble(kind: TroubleKind, rng: random.Random) -> TroublePlan:
     return TroublePlan(
         kind=kind,
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -137,7 +137,10 @@
     async def add_target(self, service: ServicePlan, place: str) -> Target:
         """Start a target and have it listed."""
         settings = WorkerSettings(
-            slots=service.slots, queue=service.queue, work_of=self._work_of, tells_load=True
+            slots=service.slots,
+            queue=service.queue,
+            hangs_when_full=service.hangs,
+            work_of=self._work_of,
         )
         worker = WorkerStandin(settings)
         await worker.start()
--- a/dunlinnotch/lab/referee.py
+++ b/dunlinnotch/lab/referee.py
@@ -62,6 +62,12 @@
     RECOVERY = "recovery"
 
 
+#: Promises with a time in them: on a machine that is too busy they may seem broken.
+TIMED = frozenset(
+    {Promise.DRAIN, Promise.SETTINGS, Promise.IN_TIME, Promise.PROBES, Promise.RECOVERY}
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Finding:
     """One broken promise."""
