--- a/dunlinnotch/cli/moves.py
+++ b/dunlinnotch/cli/moves.py
@@ -10,9 +10,12 @@
 from cleo.helpers import argument, option
 
 from dunlinnotch.cli.common import BoxCommand, EditCommand, Exit
+from dunlinnotch.cli.settings import read_tree
+from dunlinnotch.config import contradictions as config_contradictions
 from dunlinnotch.config import read_config
-from dunlinnotch.errors import ConfigError
+from dunlinnotch.errors import DunlinnotchError
 from dunlinnotch.protocol.operator import DrainPhase
+from dunlinnotch.state.consistency import contradictions
 from dunlinnotch.state.schema import RunState
 from dunlinnotch.state.tree import BOX_PREFIX, TARGET_PREFIX, Change
 
@@ -97,10 +100,38 @@
 
     name = "place stop"
     description = "Drain the boxes and the targets of a place"
-    help = "Example: <info>dunlinnotch place stop hall-a</info>"
+    help = "Example: <info>dunlinnotch place stop hall-a --follow</info>"
     arguments: ClassVar[list[Any]] = [argument("name", "Name of the place")]
+    options: ClassVar[list[Any]] = [
+        *EditCommand.options,
+        option("follow", None, "Show what its boxes still wait for, until nothing is left"),
+    ]
     state = RunState.STOPPED
 
+    def act(self) -> Exit:
+        """Make the edit; follow the stop if asked to."""
+        exit_status = super().act()
+        if self.option("follow") and exit_status in (Exit.OK, Exit.PENDING):
+            return self._follow(exit_status)
+        return exit_status
+
+    def _follow(self, exit_status: Exit) -> Exit:
+        """Show the boxes of the place until none of them serves a call."""
+        until = time.monotonic() + _FOLLOW_S
+        while time.monotonic() < until:
+            rows = [r for r in self.client().status().rows if r.place == self.argument("name")]
+            busy = [r for r in rows if r.state is RunState.RUNNING or r.in_flight]
+            waits = ", ".join(
+                f"{r.name} {r.state.value} with {r.in_flight} calls in flight"
+                for r in sorted(busy, key=lambda r: r.name)
+            )
+            self.line(waits or f"nothing left to wait for: {len(rows)} boxes drained")
+            if not busy:
+                return exit_status
+            time.sleep(_LOOK_S)
+        self.line_error(f"still waiting after {_FOLLOW_S:g} s; the stop goes on")
+        return Exit.PENDING
+
 
 class PlaceStart(_StateEdit):
     """Start a place."""
@@ -173,19 +204,33 @@
 
 
 class CheckFile(Command):
-    """Check a daemon's INI file."""
+    """Check a daemon's INI file, a settings tree, or both."""
 
     name = "check"
-    description = "Check a daemon's INI file before it is used"
-    help = "Example: <info>dunlinnotch check box.ini</info>"
-    arguments: ClassVar[list[Any]] = [argument("file", "INI file of a daemon")]
+    description = "Check a daemon's INI file, or a tree, before it is used"
+    help = "Example: <info>dunlinnotch check box.ini --tree tree.ini</info>"
+    arguments: ClassVar[list[Any]] = [argument("file", "INI file of a daemon", optional=True)]
+    options: ClassVar[list[Any]] = [
+        option("tree", None, "INI file of a tree, as written by settings export", flag=False)
+    ]
 
     def handle(self) -> int:
-        """Check the file; return 0 if the daemon would start with it."""
+        """Check the files; return 0 if they can be used and add up."""
+        file, tree = self.argument("file"), self.option("tree")
+        if file is None and tree is None:
+            self.line_error("<error>nothing to check</error>: name an INI file, --tree, or both")
+            return Exit.INVALID
         try:
-            config = read_config(Path(self.argument("file")))
-        except ConfigError as error:
+            found = [] if file is None else self._check_config(Path(file))
+            found += [] if tree is None else contradictions(read_tree(Path(tree)))
+        except DunlinnotchError as error:
             self.line_error(f"<error>{error.code}</error>: {error}")
             return Exit.INVALID
+        for text in found:
+            self.line_error(f"<error>does not add up</error>: {text}")
+        return Exit.INVALID if found else Exit.OK
+
+    def _check_config(self, file: Path) -> list[str]:
+        config = read_config(file)
         self.line(f"box {config.box.name} in {config.box.place}: settings are usable")
-        return Exit.OK
+        return config_contradictions(config)
--- a/dunlinnotch/cli/settings.py
+++ b/dunlinnotch/cli/settings.py
@@ -12,7 +12,7 @@
 from dunlinnotch.cli.common import BoxCommand, EditCommand, Exit
 from dunlinnotch.errors import SettingsError
 from dunlinnotch.state.schema import check_name
-from dunlinnotch.state.tree import Change, SettingsTree
+from dunlinnotch.state.tree import Change, Edit, SettingsTree
 
 _PATH_HELP = "/, PLACE, PLACE/SERVICE or PLACE/SERVICE/KIND; * for every place"
 
@@ -49,6 +49,28 @@
     return changes
 
 
+def read_tree(file: Path) -> SettingsTree:
+    """Return the tree in an INI file, as written by ``settings export``.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read, or a setting in it is unknown or out of range.
+    """
+    empty = SettingsTree()
+    changes = import_changes(empty, _read_text(file))
+    for change in changes:
+        change.check()
+    return empty.apply(Edit("check", 0, "check", tuple(changes), version=1))
+
+
+def _read_text(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        raise SettingsError(str(error)) from None
+
+
 def _parser() -> configparser.ConfigParser:
     return configparser.ConfigParser(interpolation=None, default_section="\0", delimiters=("=",))
 
@@ -160,10 +182,7 @@
 
     def act(self) -> Exit:
         """Make the edit."""
-        try:
-            text = Path(self.argument("file")).read_text(encoding="utf-8")
-        except OSError as error:
-            raise SettingsError(str(error)) from None
+        text = _read_text(Path(self.argument("file")))
         changes = import_changes(self.client().tree(), text)
         for change in changes:
             change.check()
--- a/dunlinnotch/config.py
+++ b/dunlinnotch/config.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+#: A row lost must not make a box suspect, nor a slow answer cost a lease.
+_ROWS_MISSED, _RENEWALS = 2, 3
+
 _NAME = r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$"
 
 
@@ -128,6 +131,45 @@
         raise ConfigError(msg) from None
 
 
+def contradictions(config: Config) -> list[str]:
+    """Return the settings that are each allowed, yet don't add up.
+
+    Parameters
+    ----------
+    config : Config
+
+    Returns
+    -------
+    list of str
+        Each names section, keys, values and what would do; empty if all adds up.
+    """
+    peers, platform = config.peers, config.platform
+    found = []
+    if peers.heartbeat_ms > peers.row_ms:
+        found.append(
+            f"[peers] heartbeat_ms = {peers.heartbeat_ms:g} but row_ms = {peers.row_ms:g}: rows "
+            "wait for a turn; heartbeat_ms of row_ms or less would do"
+        )
+    if peers.suspect_ms < _ROWS_MISSED * peers.row_ms:
+        found.append(
+            f"[peers] suspect_ms = {peers.suspect_ms:g} but row_ms = {peers.row_ms:g}: one lost "
+            f"row makes a box suspect; {_ROWS_MISSED * peers.row_ms:g} or more would do"
+        )
+    if peers.forget_ms <= peers.suspect_ms:
+        found.append(
+            f"[peers] forget_ms = {peers.forget_ms:g} but suspect_ms = {peers.suspect_ms:g}: a "
+            "box is forgotten before it is suspect; more than suspect_ms would do"
+        )
+    lease_ms = platform.lease_s * 1000
+    if platform.timeout_ms * _RENEWALS >= lease_ms:
+        found.append(
+            f"[platform] timeout_ms = {platform.timeout_ms:g} but lease_s = "
+            f"{platform.lease_s:g}: a lease lapses while it is renewed; less than "
+            f"{lease_ms / _RENEWALS:g} ms would do"
+        )
+    return found
+
+
 def _explain(loc: tuple[int | str, ...], message: str, received: object) -> str:
     section = str(loc[0])
     if len(loc) == 1:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,11 +1,14 @@
 import json
+from types import SimpleNamespace
 
 import pytest
 from cleo.testers.application_tester import ApplicationTester
 
+from dunlinnotch.cli import moves
 from dunlinnotch.cli.__main__ import COMMANDS, application
 from dunlinnotch.cli.common import Exit
 from dunlinnotch.standins.platform import PlatformFaults
+from dunlinnotch.state.schema import RunState
 
 EDITS = {"set", "unset", "import", "drain", "resume"}
 
@@ -122,6 +125,29 @@
     assert tool(f"target resume {address}")[0] == Exit.OK
 
 
+def test_a_place_is_followed_until_its_boxes_serve_nothing(monkeypatch):
+    def row(name, state, in_flight, place="hall-a"):
+        return SimpleNamespace(name=name, place=place, state=state, in_flight=in_flight)
+
+    running = row("far", RunState.RUNNING, 9, place="hall-b")
+    seen = [
+        [row("b", RunState.RUNNING, 3), row("a", RunState.DRAINING, 1), running],
+        [row("b", RunState.DRAINING, 0), row("a", RunState.DRAINING, 1), running],
+        [row("b", RunState.DRAINING, 0), row("a", RunState.DRAINING, 0), running],
+    ]
+    client = SimpleNamespace(status=lambda: SimpleNamespace(rows=seen.pop(0)))
+    monkeypatch.setattr(moves, "_LOOK_S", 0.0)
+    monkeypatch.setattr(moves.PlaceStop, "client", lambda self: client)
+    monkeypatch.setattr(moves.PlaceStop, "edit", lambda self, changes: Exit.OK)
+    tester = ApplicationTester(application())
+    assert tester.execute("place stop hall-a --follow") == Exit.OK
+    assert tester.io.fetch_output().splitlines() == [
+        "a draining with 1 calls in flight, b running with 3 calls in flight",
+        "a draining with 1 calls in flight",
+        "nothing left to wait for: 2 boxes drained",
+    ]
+
+
 @pytest.mark.parametrize(
     ("text", "says"),
     [
--- /dev/null
+++ b/tests/test_consistency.py
@@ -0,0 +1,132 @@
+"""Settings that are allowed one by one and don't add up are found before they are used."""
+
+from __future__ import annotations
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from dunlinnotch.cli.__main__ import application
+from dunlinnotch.cli.common import Exit
+from dunlinnotch.cli.settings import read_tree
+from dunlinnotch.config import contradictions as config_contradictions
+from dunlinnotch.config import read_config
+from dunlinnotch.state.consistency import contradictions
+
+TREE = """
+[/]
+keep_s = 10
+[hall-a/holdings]
+targets = 10.1.0.5:8080
+connections = 250
+boxes_max = 18
+[hall-a/holdings/lookup]
+repeatable = yes
+attempts = 2
+"""
+
+BOX = """
+[box]
+name = box-1
+place = hall-a
+caller = 10.0.0.1:7001
+peer = 10.0.0.1:7002
+operator = 10.0.0.1:7003
+[platform]
+address = 10.9.0.1:80
+{platform}
+[peers]
+{peers}
+"""
+
+
+def tree(tmp_path, text=TREE):
+    file = tmp_path / "tree.ini"
+    file.write_text(text, encoding="utf-8")
+    return file
+
+
+def box(tmp_path, *, platform="", peers=""):
+    file = tmp_path / "box.ini"
+    file.write_text(BOX.format(platform=platform, peers=peers), encoding="utf-8")
+    return file
+
+
+def check(words):
+    tester = CommandTester(application().find("check"))
+    return tester.execute(words), tester.io.fetch_output(), tester.io.fetch_error()
+
+
+def test_settings_that_add_up(tmp_path):
+    assert contradictions(read_tree(tree(tmp_path))) == []
+    assert config_contradictions(read_config(box(tmp_path))) == []
+    status, out, error = check(f"{box(tmp_path)} --tree {tree(tmp_path)}")
+    assert (status, error) == (Exit.OK, "")
+    assert "box box-1 in hall-a: settings are usable" in out
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (
+            ("connections = 250", "connections = 10"),
+            "hall-a/holdings: connections = 10 but boxes_max = 18",
+        ),
+        (
+            ("boxes_max = 18", "boxes_max = 240"),
+            "a box may probe a target once in 120 s; 8.0 probes a second or more would do",
+        ),
+        (("boxes_max = 18", "boxes_max = 18\nprobe_cost_ms = 200"), "once in 60 s"),
+        (
+            ("attempts = 2", "queue_ms = 500\ndeadline_ms = 400"),
+            "hall-a/holdings/lookup: queue_ms = 500 but deadline_ms = 400",
+        ),
+        (("attempts = 2", "attempts = 2\nretry_share = 0"), "attempts = 2 but retry_share = 0"),
+        (("keep_s = 10", "keep_s = 700"), "/: keep_s = 700 but once_window_s = 600"),
+    ],
+)
+def test_a_tree_that_does_not_add_up(tmp_path, change, said):
+    file = tree(tmp_path, TREE.replace(*change))
+    (found,) = contradictions(read_tree(file))
+    assert said in found
+    status, _, error = check(f"--tree {file}")
+    assert status == Exit.INVALID
+    assert "does not add up" in error
+
+
+@pytest.mark.parametrize(
+    ("sections", "said"),
+    [
+        ({"peers": "heartbeat_ms = 3000"}, "heartbeat_ms = 3000 but row_ms = 2000"),
+        ({"peers": "suspect_ms = 3000"}, "4000 or more would do"),
+        ({"peers": "forget_ms = 6000"}, "forget_ms = 6000 but suspect_ms = 6000"),
+        ({"platform": "timeout_ms = 2000\nlease_s = 6"}, "less than 2000 ms would do"),
+    ],
+)
+def test_a_box_whose_settings_do_not_add_up(tmp_path, sections, said):
+    file = box(tmp_path, **sections)
+    (found,) = config_contradictions(read_config(file))
+    assert said in found
+    status, _, error = check(str(file))
+    assert status == Exit.INVALID
+    assert said.split()[0] in error
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        ("", "nothing to check"),
+        ("none.ini", "config-invalid"),
+        ("--tree none.ini", "settings-invalid"),
+    ],
+)
+def test_what_can_t_be_checked_is_said(words, said):
+    status, _, error = check(words)
+    assert status == Exit.INVALID
+    assert said in error
+
+
+def test_a_tree_with_an_unknown_setting_is_refused(tmp_path):
+    file = tree(tmp_path, TREE.replace("connections", "conections"))
+    status, _, error = check(f"--tree {file}")
+    assert status == Exit.INVALID
+    assert "did you mean 'connections'" in error
