--- a/dunlinnotch/cli/__main__.py
+++ b/dunlinnotch/cli/__main__.py
@@ -30,6 +30,7 @@
     lab.LabRun,
     lab.LabSoak,
     lab.LabCompare,
+    lab.LabPlot,
     trace.TraceRequest,
     trace.TraceBox,
 )
--- a/dunlinnotch/cli/lab.py
+++ b/dunlinnotch/cli/lab.py
@@ -15,6 +15,7 @@
 from dunlinnotch.errors import ConfigError
 from dunlinnotch.lab.day import Day, read_day
 from dunlinnotch.lab.draw import draw_day
+from dunlinnotch.lab.plot import plot
 from dunlinnotch.lab.report import DayResult, as_text, compare, load_result
 from dunlinnotch.lab.run import play
 
@@ -141,3 +142,20 @@
         first, second = (load_result(Path(self.argument(n))) for n in ("first", "second"))
         self.line(compare(first, second))
         return Exit.OK
+
+
+class LabPlot(LabCommand):
+    """Draw a result."""
+
+    name = "lab plot"
+    description = "Draw requests a second and p99 over the time of a day"
+    help = "Example: <info>dunlinnotch lab plot before.json before.png</info>"
+    arguments: ClassVar[list[Any]] = [
+        argument("result", "Result of a day, as saved by lab run"),
+        argument("image", "File to write; its ending names the format"),
+    ]
+
+    def act(self) -> Exit:
+        """Write the image."""
+        plot(load_result(Path(self.argument("result"))), Path(self.argument("image")))
+        return Exit.OK
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -15,6 +16,7 @@
 from dunlinnotch.lab.day import Day, KindPlan, ServicePlan, TroubleKind, TroublePlan, read_day
 from dunlinnotch.lab.draw import draw_day
 from dunlinnotch.lab.link import FaultyLink, LinkState
+from dunlinnotch.lab.plot import plot
 from dunlinnotch.lab.referee import TIMED
 from dunlinnotch.lab.report import DayResult, KindResult, as_text, compare, load_result
 from dunlinnotch.lab.run import play
@@ -154,6 +156,12 @@
     assert "-50" in text
 
 
+def test_a_plot_without_its_library_says_what_to_install(tmp_path, monkeypatch):
+    monkeypatch.setitem(sys.modules, "matplotlib.figure", None)
+    with pytest.raises(ConfigError, match=r"dunlinnotch\[plot\]"):
+        plot(result(), tmp_path / "one.png")
+
+
 def test_a_file_that_is_no_result_is_refused(tmp_path):
     file = tmp_path / "one.json"
     file.write_text("{}", encoding="utf-8")
