--- a/dunlinnotch/cli/lab.py
+++ b/dunlinnotch/cli/lab.py
@@ -16,7 +16,7 @@
 from dunlinnotch.lab.day import Day, read_day
 from dunlinnotch.lab.draw import draw_day
 from dunlinnotch.lab.plot import plot
-from dunlinnotch.lab.report import DayResult, as_text, compare, load_result
+from dunlinnotch.lab.report import LATE_S, DayResult, as_text, compare, load_result
 from dunlinnotch.lab.run import play
 
 _SOAK_MOST = 500
@@ -109,7 +109,11 @@
             kinds = ", ".join(f"{t.kind.value} at {t.at:g} s" for t in day.troubles)
             with tempfile.TemporaryDirectory() as folder:
                 result = self.play(day, Path(folder))
-                self.line(f"{day.name}: {len(result.findings)} broken promises ({kinds})")
+                late = (
+                    f", tool late by {result.tool_late:.1f} s" if result.tool_late > LATE_S else ""
+                )
+                found = len(result.findings)
+                self.line(f"{day.name}: {found} broken promises{late} ({kinds})")
                 if result.findings:
                     broken.append(seed)
                     self._keep(result, Path(folder), keep / day.name)
--- a/dunlinnotch/lab/report.py
+++ b/dunlinnotch/lab/report.py
@@ -17,6 +17,8 @@
     from dunlinnotch.standins.users.caller import AttemptRecord
 
 _SECOND_S = 1.0
+#: A tool that is later than this does not play the day that it was given, in seconds.
+LATE_S = 0.5
 
 
 @dataclass(slots=True)
@@ -41,7 +43,13 @@
 
 @dataclass(slots=True)
 class DayResult:
-    """All that is kept of a day."""
+    """All that is kept of a day.
+
+    Parameters
+    ----------
+    tool_late : float
+        How late the tool itself sent a request at worst, in seconds.
+    """
 
     name: str
     seed: int
@@ -50,6 +58,7 @@
     probes: int
     store_calls: int
     attempts: int
+    tool_late: float = 0.0
     served_by_second: list[int] = field(default_factory=list)
     asked_by_second: list[int] = field(default_factory=list)
     p99_by_second: list[float] = field(default_factory=list)
@@ -75,7 +84,9 @@
         raise ConfigError(msg) from None
 
 
-def summarise(evidence: Evidence, findings: Sequence[Finding], *, store_calls: int) -> DayResult:
+def summarise(
+    evidence: Evidence, findings: Sequence[Finding], *, store_calls: int, tool_late: float
+) -> DayResult:
     """Return the result of a day."""
     requests: dict[int, list[AttemptRecord]] = {}
     for attempt in evidence.attempts:
@@ -88,6 +99,7 @@
         probes=sum(target.worker.probes for target in evidence.targets),
         store_calls=store_calls,
         attempts=len(evidence.attempts),
+        tool_late=round(tool_late, 3),
     )
     for kind in evidence.day.kinds:
         own = [r for r in requests.values() if r[0].kind == kind.name]
@@ -151,6 +163,11 @@
         f"{k.p50:>9.1f}{k.p99:>9.1f}"
         for k in result.kinds
     ]
+    if result.tool_late > LATE_S:
+        lines.append(
+            f"the tool itself was late by up to {result.tool_late:.1f} s: the machine was too "
+            "busy for times to mean anything; play the day again"
+        )
     lines.append(f"broken promises: {len(result.findings)}")
     lines += [f"  {finding}" for finding in result.findings]
     return "\n".join(lines)
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -52,6 +52,8 @@
         self.attempts: list[AttemptRecord] = []
         self.asked = 0
         self.left_out = 0
+        #: How late the tool sent a request at worst, in seconds.
+        self.late = 0.0
 
     async def run(self, until: Seconds) -> None:
         """Send the requests of all kinds until a moment; wait for the last answers."""
@@ -68,6 +70,7 @@
             if at >= until:
                 return
             await asyncio.sleep(max(0.0, at - self._loop.time()))
+            self.late = max(self.late, self._loop.time() - at)
             if len(self._tasks) >= _UNDER_WAY_MOST:
                 self.left_out += 1
                 continue
@@ -145,7 +148,12 @@
             windows=troubles.windows,
             moves=fleet.moved_at,
         )
-        return summarise(evidence, Referee(evidence).findings(), store_calls=fleet.store.calls)
+        return summarise(
+            evidence,
+            Referee(evidence).findings(),
+            store_calls=fleet.store.calls,
+            tool_late=callers.late,
+        )
 
 
 async def _tell(
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -140,7 +140,7 @@
 
 def result(**changes):
     kind = KindResult("lookup", asked=10, in_time=8, late=1, failed=1, p50=5.0, p99=20.0)
-    plain = DayResult("one", 1, [kind], ["drain: t1: late"], 100, 20, 12, [9], [10], [20.0])
+    plain = DayResult("one", 1, [kind], ["drain: t1: late"], 100, 20, 12, 0.0, [9], [10], [20.0])
     return replace(plain, **changes)
 
 
@@ -149,6 +149,8 @@
     result().save(file)
     assert load_result(file) == result()
     assert "broken promises: 1\n  drain: t1: late" in as_text(result())
+    assert "the tool itself" not in as_text(result(tool_late=0.1))
+    assert "the tool itself was late by up to 2.0 s" in as_text(result(tool_late=2.0))
     better = KindResult("lookup", asked=10, in_time=10, p50=4.0, p99=10.0)
     text = compare(result(), result(name="two", kinds=[better], findings=[], probes=50))
     assert "0.80" in text
