No import circles of types; the matrix page is the same for the same input

operator no longer knows box, nor exchange the server. The order of pairs in the table depended on the hash of texts; tests/test_fault_matrix.py failed first, under three hash seeds.

--- a/dunlinnotch/daemon/box.py
+++ b/dunlinnotch/daemon/box.py
@@ -83,7 +83,7 @@
             heartbeat_s=config.peers.heartbeat_ms / 1000,
             on_traffic=lambda size: self.metrics.count(Metric.PEER_BYTES, size),
         )
-        operator = OperatorPort(self)
+        operator = OperatorPort(self.core, self.links, peer_bytes=lambda: self.peer_bytes)
         self._operator_server = HttpServer(
             split_address(config.box.operator), operator, operator.bad_head, connections=64
         )
--- a/dunlinnotch/daemon/operator.py
+++ b/dunlinnotch/daemon/operator.py
@@ -16,9 +16,12 @@
 from dunlinnotch.transport.server import HeadRefusal
 
 if TYPE_CHECKING:
-    from dunlinnotch.daemon.box import Box
+    from collections.abc import Callable
+
+    from dunlinnotch.coordination.core import BoxCore
     from dunlinnotch.protocol.outcome import Reason
     from dunlinnotch.transport.exchange import Exchange
+    from dunlinnotch.transport.peers import PeerLinks
 
 _JSON = Header("Content-Type", "application/json")
 _BODY_MAX = 4 * 1024 * 1024
@@ -31,11 +34,16 @@
 
     Parameters
     ----------
-    box : Box
+    core : BoxCore
+    links : PeerLinks
+    peer_bytes : callable
+        Returns the bytes sent to peers since the start.
     """
 
-    def __init__(self, box: Box) -> None:
-        self._box = box
+    def __init__(self, core: BoxCore, links: PeerLinks, *, peer_bytes: Callable[[], int]) -> None:
+        self._core = core
+        self._links = links
+        self._peer_bytes = peer_bytes
         self._routes = {
             ("GET", "/status"): self._status,
             ("GET", "/settings"): self._settings,
@@ -68,7 +76,7 @@
         exchange.reply(status, [_JSON], _codec.to_json(value))
 
     def _status(self, _query: dict[str, str], _body: bytes) -> Status:
-        core = self._box.core
+        core = self._core
         refusal = core.gate.refusal()
         return Status(
             box=core.name,
@@ -77,31 +85,31 @@
             table_age_s=core.membership.table_age(),
             refusing=None if refusal is None else refusal.detail,
             drain=core.drain.status(),
-            links=tuple(self._box.links.names()),
-            peer_bytes=self._box.peer_bytes,
+            links=tuple(self._links.names()),
+            peer_bytes=self._peer_bytes(),
             rows=tuple(core.membership.rows()),
         )
 
     def _settings(self, _query: dict[str, str], _body: bytes) -> object:
-        return self._box.core.holder.tree
+        return self._core.holder.tree
 
     def _edit(self, _query: dict[str, str], body: bytes) -> object:
         request = _codec.from_json(EditRequest, body)
-        result = self._box.core.editor.edit(request.edit, timeout=request.wait_s)
-        self._box.links.wake()
+        result = self._core.editor.edit(request.edit, timeout=request.wait_s)
+        self._links.wake()
         return result
 
     def _explain(self, query: dict[str, str], _body: bytes) -> object:
         path = query.get("path", "/")
         check_path(path)
-        tree = self._box.core.holder.tree
+        tree = self._core.holder.tree
         effective = tree.effective(path).model_dump(mode="json")
         return tuple(
             Explained(name, _text(effective[name]), tree.source(path, name)) for name in FIELD_NAMES
         )
 
     def _targets(self, query: dict[str, str], _body: bytes) -> object:
-        pool = self._box.core.directory.pool(query.get("service", ""))
+        pool = self._core.directory.pool(query.get("service", ""))
         scores = [] if pool is None else pool.scores()
         return tuple(
             TargetNow(
--- a/dunlinnotch/transport/exchange.py
+++ b/dunlinnotch/transport/exchange.py
@@ -5,7 +5,7 @@
 import re
 import select
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.state.heads import Header
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from dunlinnotch.transport.server import HttpServer, ServerConnection, ServerRequest
+    from dunlinnotch.transport.heads import StrictHeaderReader
+    from dunlinnotch.transport.reader import SocketReader
     from dunlinnotch.types import Seconds
 
 CHUNK = 64 * 1024
@@ -22,6 +23,33 @@
 _CHUNK_SIZE = re.compile(rb"^([0-9A-Fa-f]{1,12})(?:[ \t]*;[^\r\n]*)?\r\n$")
 
 
+class ParsedConnection(Protocol):
+    """What an exchange uses of its caller's connection."""
+
+    socket: socket.socket
+    rfile: SocketReader
+    limit: Seconds | None
+    remote_addr: str
+    remote_port: int
+
+
+class ClosingServer(Protocol):
+    """What an exchange uses of its server."""
+
+    closing: bool
+
+
+class ParsedRequest(Protocol):
+    """A request whose head has been read."""
+
+    conn: ParsedConnection
+    server: ClosingServer
+    method: bytes
+    uri: bytes
+    inheaders: dict[bytes, bytes]
+    header_reader: StrictHeaderReader
+
+
 class Exchange:
     """One request and its answer.
 
@@ -36,11 +64,10 @@
         The caller's address.
     """
 
-    def __init__(self, request: ServerRequest) -> None:
-        self._request = request
-        self._conn: ServerConnection = request.conn
-        self._server: HttpServer = request.server
-        self._sock: socket.socket = request.conn.socket
+    def __init__(self, request: ParsedRequest) -> None:
+        self._conn = request.conn
+        self._server = request.server
+        self._sock = request.conn.socket
         self.method: str = request.method.decode("latin-1")
         self.path: str = request.uri.decode("latin-1")
         self.headers: list[Header] = request.header_reader.lines
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -286,7 +286,8 @@
     """Return the matrix as Markdown."""
     lines = [f"| fault | {' | '.join(STEPS)} |", f"| --- |{' --- |' * len(STEPS)}"]
     names = {cell.faults for cell in results}
-    for faults in sorted(names, key=lambda f: (len(f), list(FAULTS).index(f[0]))):
+    order = list(FAULTS)
+    for faults in sorted(names, key=lambda f: (len(f), [order.index(name) for name in f])):
         row = []
         for step in STEPS:
             mine = [r for cell, r in results.items() if (cell.faults, cell.step) == (faults, step)]
