--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -38,6 +38,8 @@
     place: str
     sequence: int = 1
     leaving_at: Seconds | None = None
+    #: Whether it is about to end; it is not chosen for a second end.
+    ending: bool = False
 
 
 class Fleet:
@@ -166,6 +168,7 @@
 
     async def release(self, target: Target) -> None:
         """Have a target leave as planned, and another take its place."""
+        target.ending = True
         plan = next(s for s in self.day.services if s.name == target.service)
         await self.add_target(plan, target.place)
         self.announce_leaving(target)
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -86,7 +86,7 @@
         self.windows[place] = Window(plan.kind, began, self._loop.time())
 
     def _some_targets(self, plan: TroublePlan) -> list[Target]:
-        ready = [t for t in self._fleet.targets if t.leaving_at is None]
+        ready = [t for t in self._fleet.targets if not t.ending]
         return _some(ready, plan.share, self._rng)
 
     def _some_boxes(self, plan: TroublePlan) -> list[BoxProcess]:
@@ -111,6 +111,7 @@
     async def _crash_targets(self, plan: TroublePlan) -> None:
         targets = self._some_targets(plan)
         for target in targets:
+            target.ending = True
             target.link.set_state(LinkState.RESET)
         await asyncio.sleep(_UNLISTED_S)
         for target in targets:
@@ -156,7 +157,8 @@
 
     async def _release(self, plan: TroublePlan) -> None:
         for target in self._some_targets(plan):
-            await self._fleet.release(target)
+            if not target.ending:
+                await self._fleet.release(target)
 
     # -- boxes
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,15 @@
 from dunlinnotch.cli.__main__ import application
 from dunlinnotch.cli.common import Exit
 from dunlinnotch.errors import ConfigError
-from dunlinnotch.lab.day import Day, KindPlan, ServicePlan, TroubleKind, TroublePlan, read_day
+from dunlinnotch.lab.day import (
+    Bounds,
+    Day,
+    KindPlan,
+    ServicePlan,
+    TroubleKind,
+    TroublePlan,
+    read_day,
+)
 from dunlinnotch.lab.draw import draw_day
 from dunlinnotch.lab.link import FaultyLink, LinkState
 from dunlinnotch.lab.plot import plot
@@ -226,6 +234,15 @@
     assert (tmp_path / "box-1.log").stat().st_size > 0
 
 
+def test_a_target_that_crashes_amid_a_release_ends_once(tmp_path):
+    plan = day(
+        TroublePlan(kind=TroubleKind.RELEASE, at=0.1, share=1.0),
+        TroublePlan(kind=TroubleKind.TARGET_CRASH, at=0.2, for_s=0.0, share=1.0),
+        bounds=Bounds(drain=0.2),
+    )
+    assert broken(asyncio.run(play(plan, tmp_path))) == []
+
+
 @pytest.mark.parametrize("file", sorted(DAYS.glob("*.toml")), ids=lambda file: file.stem)
 def test_a_day_that_once_broke_a_promise_keeps_it(file, tmp_path):
     assert broken(asyncio.run(play(read_day(file), tmp_path))) == []
