Tell versions that only move on from changes; reach no target that leaves meanwhile

The store counts versions over all its tables, so each change of the list of targets made every box fetch an empty change of the settings, and each reader's waiting call for the settings was taken for hung, broken off and counted as a failure; readers gave up and took over in turn (35 hung calls and 2,093 changes of state heard in a second by 35 boxes, after the store had been down from 15 to 18 s), and each told its place at once. The request itself was sent on after 0.6 s of connecting, without another look whether its target still takes work.

Change: a word tells since which version no row changed; a fetch is made and a call broken off only for a change (state machine in tests/test_followed.py, tests/test_following.py). Once a connection is there, the request goes out only if its target still takes work (tests/test_entry.py).

Ruled out: the links of the boxes (under 10 % used), whole tables after lost history (no history-gone in the log).

--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -99,6 +99,7 @@
         tables = {
             name: TableState(
                 table.version,
+                table.changed,
                 -1 if table.verified_at is None else int((now - table.verified_at) * 1000),
             )
             for name, table in self._tables.items()
@@ -172,8 +173,7 @@
             table = self._tables.get(name)
             if table is None or not table.known or state.age_ms < 0:
                 continue
-            if state.version <= table.version:
-                table.verify(now - state.age_ms / 1000)
+            table.take_same(state.changed, state.version, at=now - state.age_ms / 1000)
 
     def newer(self, word: BoxWord) -> list[str]:
         """Return the tables that the sender of a word knows further than this box."""
@@ -182,7 +182,7 @@
             table = self._tables.get(name)
             if table is None or state.age_ms < 0:
                 continue
-            if state.version > table.version or not table.known:
+            if state.changed > table.version or not table.known:
                 found.append(name)
         return found
 
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -339,6 +339,7 @@
                 run.body,
                 left=left,
                 instance=instance.name,
+                still=lambda: self._still(run, pick),
                 asked=pick.asked,
                 once=not kind.repeatable,
             )
--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -78,10 +78,10 @@
             if not self._mesh.is_reader():
                 await asyncio.sleep(_LOOK_S)
                 continue
-            before = self._table.version
+            before = self._table.changed
             if await self._turn():
                 self._well()
-                if self._table.version > before and not self._mesh.is_lead():
+                if self._table.changed > before and not self._mesh.is_lead():
                     # The lead tells the next change; a call for each would cost the store.
                     await asyncio.sleep(_AFTER_NEWS_S)
             else:
@@ -96,7 +96,7 @@
             self._loop.call_later(_BEHIND_S, self._break_off, self._call)
 
     def _break_off(self, call: asyncio.Task[bool]) -> None:
-        if self._call is call and not call.done() and self._asked_after < self._table.version:
+        if self._call is call and not call.done() and self._asked_after < self._table.changed:
             call.cancel()
 
     async def _turn(self) -> bool:
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -20,7 +20,7 @@
     from dunlinnotch.types import Seconds
 
 #: Words of another release, or of nobody, are not taken.
-_FORMAT = 3
+_FORMAT = 4
 _WORD_FIELDS = 12
 #: Bytes of words put into one datagram: it is not to be cut on its way.
 _DATAGRAM_MOST = 1200
@@ -32,12 +32,14 @@
 
     Parameters
     ----------
-    version : int
+    version, changed : int
+        It is known completely up to ``version``, and no row changed since ``changed``.
     age_ms : int
         Milliseconds since it was known to be all; -1 if it never was.
     """
 
     version: int
+    changed: int
     age_ms: int
 
 
@@ -113,7 +115,7 @@
 
 def pack_word(word: BoxWord) -> bytes:
     """Return a word as bytes; those of several words may follow each other."""
-    tables = {name: [t.version, t.age_ms] for name, t in word.tables.items()}
+    tables = {n: [t.version, t.changed, t.age_ms] for n, t in word.tables.items()}
     fields = [
         _FORMAT,
         word.name,
@@ -171,7 +173,7 @@
         follows=bool(follows),
         in_flight=int(fields[9]),
         boxes={str(place): int(count) for place, count in fields[11].items()},
-        tables={str(n): TableState(int(v), int(a)) for n, (v, a) in fields[10].items()},
+        tables={str(n): TableState(*map(int, state)) for n, state in fields[10].items()},
         wants_word=bool(wants),
     )
 
@@ -179,7 +181,8 @@
 def pack_delta(delta: TableDelta, *, age_ms: int) -> dict[str, Any]:
     """Return a table's changes as plain data."""
     rows = [[row.key, row.version, row.value] for row in delta.rows]
-    return {"t": delta.table, "v": delta.version, "w": delta.whole, "r": rows, "a": age_ms}
+    plain = {"t": delta.table, "v": delta.version, "w": delta.whole, "r": rows, "a": age_ms}
+    return {**plain, "c": delta.changed}
 
 
 def unpack_delta(plain: Any) -> tuple[TableDelta, int]:  # noqa: ANN401 - checked here
@@ -191,7 +194,8 @@
     """
     try:
         rows = tuple(TableRow(str(k), int(v), value) for k, v, value in plain["r"])
-        delta = TableDelta(str(plain["t"]), int(plain["v"]), bool(plain["w"]), rows)
+        changed = int(plain["c"])
+        delta = TableDelta(str(plain["t"]), int(plain["v"]), bool(plain["w"]), rows, changed)
         return delta, int(plain["a"])
     except (KeyError, ValueError, TypeError) as error:
         msg = f"no table: {error!r}"
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Callable, Sequence
 
     from dunlinnotch.protocol.outcome import Reason
     from dunlinnotch.state.heads import AnswerHead, Header
@@ -188,6 +188,7 @@
         *,
         left: Seconds,
         instance: str,
+        still: Callable[[], bool],
         asked: Asked | None = None,
         once: bool = False,
     ) -> AttemptEnd:
--- a/dunlinnotch/state/followed.py
+++ b/dunlinnotch/state/followed.py
@@ -34,12 +34,16 @@
     whole : bool
         Whether ``rows`` are all rows that there are.
     rows : tuple of TableRow
+    changed : int, default 0
+        No row changed between here and ``version``, as far as a peer told; 0 if
+        a store told.
     """
 
     table: str
     version: int
     whole: bool
     rows: tuple[TableRow, ...]
+    changed: int = 0
 
 
 class FollowedTable:
@@ -54,7 +58,10 @@
     Attributes
     ----------
     version : int
-        0 before anything is known.
+        The table is known completely up to here; 0 before anything is known.
+    changed : int
+        No row changed between here and ``version``.  The store counts versions over
+        all its tables, so ``version`` moves on where nothing changed.
     verified_at : float or None
         Monotonic seconds at which this was all that the store held.
     """
@@ -62,6 +69,7 @@
     def __init__(self, name: str, on_change: Callable[[list[TableRow]], None]) -> None:
         self.name = name
         self.version = 0
+        self.changed = 0
         self.verified_at: Seconds | None = None
         self._on_change = on_change
         self._rows: dict[str, TableRow] = {}
@@ -82,6 +90,34 @@
         """Note that the store held no more than this at ``at``."""
         self.verified_at = at if self.verified_at is None else max(self.verified_at, at)
 
+    def take_same(self, changed: int, version: int, *, at: Seconds) -> bool:
+        """Take over how far a peer knows the table, if it holds the same rows.
+
+        Parameters
+        ----------
+        changed, version : int
+            The peer's.
+        at : float
+            Monotonic seconds at which the store held no more than the peer knew.
+
+        Returns
+        -------
+        bool
+            False if the peer knows of a change that is not known here.
+
+        Notes
+        -----
+        Both tables stood still from ``changed`` to ``version``; where these spans
+        meet, they held the same rows.
+        """
+        if not self.known or changed > self.version:
+            return False
+        if self.changed <= version:
+            self.changed = max(self.changed, changed)
+            self.version = max(self.version, version)
+            self.verify(at)
+        return True
+
     def take(self, delta: TableDelta, *, at: Seconds) -> bool:
         """Take in what a store or peer says was so at ``at``.
 
@@ -103,6 +139,10 @@
             ]
             # Rows may have come and gone unseen, so nobody is told of changes before this.
             self._gone_floor = max(self._gone_floor, delta.version)
+        self.changed = max(self.changed, delta.changed, *(row.version for row in delta.rows), 0)
+        if delta.whole and not delta.changed:
+            # Rows may have gone unseen at any version up to this one.
+            self.changed = delta.version
         self.version = delta.version
         self.verify(at)
         if changed:
@@ -112,10 +152,12 @@
     def since(self, version: int) -> TableDelta:
         """Return what changed after ``version``; everything if that is no longer known."""
         if version < self._gone_floor or version <= 0:
-            return TableDelta(self.name, self.version, True, tuple(self._rows.values()))
+            rows = list(self._rows.values())
+            return TableDelta(self.name, self.version, True, tuple(rows), self.changed)
         rows = [row for row in self._rows.values() if row.version > version]
         rows += [row for row in self._gone.values() if row.version > version]
-        return TableDelta(self.name, self.version, False, tuple(sorted(rows, key=_by_version)))
+        rows.sort(key=_by_version)
+        return TableDelta(self.name, self.version, False, tuple(rows), self.changed)
 
     def _take_row(self, row: TableRow) -> bool:
         known = self._rows.get(row.key) or self._gone.get(row.key)
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -26,7 +26,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, RelayBody, TargetDialect
     from dunlinnotch.state.heads import AnswerHead
@@ -181,6 +181,7 @@
         *,
         left: Seconds,
         instance: str,
+        still: Callable[[], bool],
         asked: Asked | None = None,
         once: bool = False,
     ) -> AttemptEnd:
@@ -195,6 +196,9 @@
             Seconds that the target is given.
         instance : str
             The target that is meant; another one at the address refuses.
+        still : callable
+            Returns whether the request may go to the target now; asked once there is
+            a connection, which may have taken its time.
         asked : Asked, optional
             A probe whose connection is used.
         once : bool, default False
@@ -206,15 +210,12 @@
         When cancelled, the connection is closed, so that the target stops.
         """
         pool = self.pool(address)
-        link = asked.link if asked is not None else None
-        if asked is not None:
-            asked.link = None
-        if not isinstance(link, TargetLink) or link.over:
-            most = _RESTED_ONCE_S if once else IDLE_MOST_S
-            taken = await pool.take(rested_most=most)
-            if isinstance(taken, NotSent):
-                return taken
-            link = taken
+        link = await self._take_link(pool, asked, once=once)
+        if isinstance(link, NotSent):
+            return link
+        if not still():
+            pool.give_back(link)
+            return NotSent(Reason.NO_TARGET, "the target was given up before it was reached")
         ended: AttemptEnd | None = None
         sender: asyncio.Task[None] | None = None
         try:
@@ -243,6 +244,17 @@
                     pool.discard(link)
         return ended
 
+    @staticmethod
+    async def _take_link(
+        pool: LinkPool, asked: Asked | None, *, once: bool
+    ) -> TargetLink | NotSent:
+        """Return the connection of a probe if it is still good, else another."""
+        if asked is not None:
+            link, asked.link = asked.link, None
+            if isinstance(link, TargetLink) and not link.over:
+                return link
+        return await pool.take(rested_most=_RESTED_ONCE_S if once else IDLE_MOST_S)
+
     async def _await_answer(
         self,
         pool: LinkPool,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 from dunlinnotch.coordination.choosing.fresh import FRESH_S
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault, WorkerSettings
+from dunlinnotch.transport.stream.link_pool import LinkPool
 from tests.stream_world import (
     call,
     connect,
@@ -369,3 +370,40 @@
             await world.tasks[0]
 
     run(test)
+
+
+@pytest.mark.parametrize(("method", "path"), [("POST", "/lend/"), ("GET", "/read/")])
+def test_a_target_that_leaves_while_it_is_being_reached_gets_nothing(monkeypatch, method, path):
+    """ikenga-gate-grown trouble-1 --seed 531803079277: DRAIN.
+
+    A request went to a worker that had said that it leaves while the
+    connection to it was being opened.
+    """
+
+    async def test():
+        async with stream_world(workers=2) as world:
+            box = world.boxes[0]
+            take = LinkPool.take
+            slow = []
+
+            async def take_slowly(pool, **more):
+                link = await take(pool, **more)
+                if not slow:
+                    slow.append(pool.address)
+                    leaving = next(i for i in box.instances.all() if i.address == pool.address)
+                    box.instances.leave(leaving.name, for_good=True)
+                return link
+
+            monkeypatch.setattr(LinkPool, "take", take_slowly)
+            # Nobody is asked first, so that the connection is taken for the request.
+            box.probes.per_s = 0.0
+            monkeypatch.setattr(type(box.probes), "has_left", lambda self, target: False)
+            body = b"x" if method == "POST" else b""
+            answer = await call(box, path, "r1", method=method, body=body)
+            assert answer.status in (200, 503)
+            reached = {
+                worker.address: [run.request_id for run in worker.ran] for worker in world.workers
+            }
+            assert reached[slow[0]] == []
+
+    run(test)
--- a/tests/test_followed.py
+++ b/tests/test_followed.py
@@ -21,6 +21,7 @@
         self.history: list[TableRow] = []
         self.states = {0: {}}
         self.late: list[TableDelta] = []
+        self.words: list[tuple[int, int, float]] = []
         self.seen: list[dict[str, bytes]] = [{}, {}, {}]
         self.boxes = [FollowedTable("t", self._watcher(n)) for n in range(3)]
 
@@ -45,6 +46,12 @@
         self.history.append(row)
         self.states[self.version] = {k: r.value for k, r in self.store.items()}
 
+    @rule()
+    def write_another_table(self):
+        """The store counts versions over all its tables."""
+        self.version += 1
+        self.states[self.version] = self.states[self.version - 1]
+
     def _feed(self, after):
         rows = tuple(row for row in self.history if row.version > after)
         return TableDelta("t", self.version, False, rows)
@@ -72,7 +79,36 @@
     def fetch(self, asker, teller):
         if self.boxes[teller].known and asker != teller:
             version = self.boxes[asker].version if self.boxes[asker].known else 0
-            self.boxes[asker].take(self.boxes[teller].since(version), at=0.0)
+            known = self.boxes[teller]
+            self.boxes[asker].take(known.since(version), at=known.verified_at)
+
+    @rule(teller=st.integers(0, 2))
+    def speak(self, teller):
+        table = self.boxes[teller]
+        if table.known:
+            self.words.append((table.changed, table.version, table.verified_at))
+
+    @rule(box=st.integers(0, 2), data=st.data())
+    def hear(self, box, data):
+        """A word that may have been long on its way."""
+        if self.words:
+            changed, version, at = data.draw(st.sampled_from(self.words))
+            same = self.boxes[box].take_same(changed, version, at=at)
+            assert same or not self.boxes[box].known or self.boxes[box].version < changed
+
+    @invariant()
+    def no_row_changed_between_changed_and_version(self):
+        for table in self.boxes:
+            if table.known:
+                assert table.changed <= table.version
+                spans = range(table.changed, table.version + 1)
+                assert all(self.states[v] == self.states[table.version] for v in spans)
+
+    @invariant()
+    def what_is_known_is_what_the_store_held_when_it_was_verified(self):
+        for table in self.boxes:
+            if table.known and table.verified_at >= table.version:
+                assert self.states[table.version] == self.states[int(table.verified_at)]
 
     @invariant()
     def each_box_knows_exactly_what_stood_at_its_version(self):
@@ -119,3 +155,23 @@
     assert not table.take(TableDelta("t", 4, True, (TableRow("a", 4, b"old"),)), at=9.0)
     assert table.rows == [TableRow("a", 5, b"new")]
     assert table.verified_at == 1.0
+
+
+def test_a_version_that_only_moves_on_needs_no_fetch():
+    """ikenga-gate-grown trouble-1 --seed 531803079277: DRAIN.
+
+    Versions count over all tables, so each change of one table made every box
+    fetch an empty change of the other, and readers took calls that rightly
+    waited for hung ones.
+    """
+    first, second = FollowedTable("t", lambda _: None), FollowedTable("t", lambda _: None)
+    row = TableRow("a", 5, b"x")
+    for table in (first, second):
+        table.take(TableDelta("t", 5, True, (row,)), at=1.0)
+    first.take(TableDelta("t", 9, False, ()), at=4.0)
+    assert (first.version, first.changed) == (9, 5)
+    assert second.take_same(first.changed, first.version, at=4.0)
+    assert (second.version, second.changed, second.verified_at) == (9, 5, 4.0)
+    first.take(TableDelta("t", 12, False, (TableRow("a", 11, b"y"),)), at=5.0)
+    assert not second.take_same(first.changed, first.version, at=5.0)
+    assert second.verified_at == 4.0
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -138,3 +138,18 @@
         assert follower.failing
 
     follow(test)
+
+
+def test_a_call_that_rightly_waits_is_not_taken_for_hung():
+    """The peer has heard that nothing changed up to a higher version."""
+
+    async def test(source, table, follower, news):
+        source.answers = ["hang"]
+        await until(lambda: source.asked == [1])
+        table.take(TableDelta("t", 7, False, ()), at=1.0)
+        follower.look_again()
+        await asyncio.sleep(following._BEHIND_S * 2)
+        assert source.asked == [1]
+        assert not follower.failing
+
+    follow(test)
