--- a/dunlinnotch/cli/common.py
+++ b/dunlinnotch/cli/common.py
@@ -14,7 +14,7 @@
 from cleo.helpers import option
 
 from dunlinnotch import _codec
-from dunlinnotch.errors import BoxUnreachableError, DunlinnotchError, SettingsError
+from dunlinnotch.errors import BoxUnreachableError, ConfigError, DunlinnotchError, SettingsError
 from dunlinnotch.protocol.operator import EDIT_WAIT_S, EditRequest
 from dunlinnotch.protocol.outcome import EditStatus
 from dunlinnotch.state.tree import Change, Edit
@@ -51,6 +51,22 @@
 }
 
 
+class FileCommand(Command):
+    """A command that works on files alone and talks to no box."""
+
+    def handle(self) -> int:
+        """Run the command; bad input becomes an exit status."""
+        try:
+            return int(self.act())
+        except ConfigError as error:
+            self.line_error(f"<error>{error.code}</error>: {error}")
+            return Exit.INVALID
+
+    def act(self) -> Exit:
+        """Do the command's work."""
+        raise NotImplementedError
+
+
 class BoxCommand(Command):
     """A command that talks to a box."""
 
--- a/dunlinnotch/cli/lab.py
+++ b/dunlinnotch/cli/lab.py
@@ -8,10 +8,9 @@
 from pathlib import Path
 from typing import Any, ClassVar
 
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from dunlinnotch.cli.common import Exit
+from dunlinnotch.cli.common import Exit, FileCommand
 from dunlinnotch.errors import ConfigError
 from dunlinnotch.lab.day import Day, read_day
 from dunlinnotch.lab.draw import draw_day
@@ -22,21 +21,9 @@
 _SOAK_MOST = 500
 
 
-class LabCommand(Command):
+class LabCommand(FileCommand):
     """A command that plays days."""
 
-    def handle(self) -> int:
-        """Run the command; bad input becomes an exit status."""
-        try:
-            return int(self.act())
-        except ConfigError as error:
-            self.line_error(f"<error>{error.code}</error>: {error}")
-            return Exit.INVALID
-
-    def act(self) -> Exit:
-        """Do the command's work."""
-        raise NotImplementedError
-
     def play(self, day: Day, logs: Path) -> DayResult:
         """Play one day and show how far it is."""
         logs.mkdir(parents=True, exist_ok=True)
--- a/dunlinnotch/cli/trace.py
+++ b/dunlinnotch/cli/trace.py
@@ -5,28 +5,19 @@
 from pathlib import Path
 from typing import Any, ClassVar
 
-from cleo.commands.command import Command
 from cleo.helpers import argument
 
-from dunlinnotch.cli.common import Exit
+from dunlinnotch.cli.common import Exit, FileCommand
 from dunlinnotch.errors import ConfigError
 from dunlinnotch.trace.request import beliefs_as_text, beliefs_at, trace_as_text, trace_request
 
 
-class LogCommand(Command):
+class LogCommand(FileCommand):
     """A command that reads logs."""
 
-    def handle(self) -> int:
-        """Run the command; bad input becomes an exit status."""
-        try:
-            return int(self.act([Path(name) for name in self.argument("logs")]))
-        except ConfigError as error:
-            self.line_error(f"<error>{error.code}</error>: {error}")
-            return Exit.INVALID
-
-    def act(self, files: list[Path]) -> Exit:
-        """Do the command's work."""
-        raise NotImplementedError
+    def files(self) -> list[Path]:
+        """Return the logs named."""
+        return [Path(name) for name in self.argument("logs")]
 
 
 class TraceRequest(LogCommand):
@@ -40,10 +31,10 @@
         argument("logs", "Logs of boxes", multiple=True),
     ]
 
-    def act(self, files: list[Path]) -> Exit:
+    def act(self) -> Exit:
         """Print the trace; FAILED if no log has the request."""
         request = self.argument("request")
-        trace = trace_request(request, files)
+        trace = trace_request(request, self.files())
         for line in trace_as_text(trace):
             self.line(line)
         if trace.passages:
@@ -64,14 +55,14 @@
         argument("logs", "Logs of boxes", multiple=True),
     ]
 
-    def act(self, files: list[Path]) -> Exit:
+    def act(self) -> Exit:
         """Print the beliefs; FAILED if there are none."""
         try:
             time = float(self.argument("time"))
         except ValueError:
             msg = f"time {self.argument('time')!r}: allowed are seconds, as in 1796217493.2"
             raise ConfigError(msg) from None
-        lines = list(beliefs_as_text(beliefs_at(self.argument("box"), time, files), time))
+        lines = list(beliefs_as_text(beliefs_at(self.argument("box"), time, self.files()), time))
         for line in lines:
             self.line(line)
         if lines:
