trace summary: how targets were chosen in a stretch of time, and what each kind lost

Cause: what binds under load had to be read from single route lines by hand. Change: `dunlinnotch trace summary` folds route lines into one fate for each request (in time, late here, late at the target, refused, lost) and, by how the target was chosen, the age of its report, the wait, the expected and the real time. Tries in a route line are objects with named fields in place of positional lists; the line tells the target latency of its kind.

--- a/dunlinnotch/cli/__main__.py
+++ b/dunlinnotch/cli/__main__.py
@@ -33,6 +33,7 @@
     lab.LabPlot,
     trace.TraceRequest,
     trace.TraceBox,
+    trace.TraceSummary,
 )
 
 
--- a/dunlinnotch/cli/trace.py
+++ b/dunlinnotch/cli/trace.py
@@ -2,14 +2,28 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
 from dunlinnotch.cli.common import Exit, FileCommand
 from dunlinnotch.errors import ConfigError
 from dunlinnotch.trace.request import beliefs_as_text, beliefs_at, trace_as_text, trace_request
+from dunlinnotch.trace.summary import summarise, summary_as_text
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Seconds
+
+
+def _seconds(name: str, text: str) -> Seconds:
+    """Return an argument or option that is a number of seconds."""
+    try:
+        return float(text)
+    except ValueError:
+        msg = f"{name} {text!r}: allowed are seconds, as in 1796217493.2"
+        raise ConfigError(msg) from None
 
 
 class LogCommand(FileCommand):
@@ -57,11 +71,7 @@
 
     def act(self) -> Exit:
         """Print the beliefs; FAILED if there are none."""
-        try:
-            time = float(self.argument("time"))
-        except ValueError:
-            msg = f"time {self.argument('time')!r}: allowed are seconds, as in 1796217493.2"
-            raise ConfigError(msg) from None
+        time = _seconds("time", self.argument("time"))
         lines = list(beliefs_as_text(beliefs_at(self.argument("box"), time, self.files()), time))
         for line in lines:
             self.line(line)
@@ -69,3 +79,41 @@
             return Exit.OK
         self.line_error(f"no log tells of box {self.argument('box')!r} at {time}")
         return Exit.FAILED
+
+
+class TraceSummary(LogCommand):
+    """Sum up a stretch of time."""
+
+    name = "trace summary"
+    description = "Show how targets were chosen, and what each kind of request lost to what"
+    help = "Example: <info>dunlinnotch trace summary --every 2 logs/*.log</info>"
+    arguments: ClassVar[list[Any]] = [argument("logs", "Logs of boxes", multiple=True)]
+    options: ClassVar[list[Any]] = [
+        option("from", None, "Only requests that came then or later, in seconds", flag=False),
+        option("to", None, "Only requests that came before, in seconds", flag=False),
+        option("every", None, "Show each stretch of so many seconds by itself", flag=False),
+    ]
+
+    def act(self) -> Exit:
+        """Print the summary; FAILED if no log has a decision in that time."""
+        begin, end, every = self._bounds()
+        slices = summarise(self.files(), begin=begin, end=end, every=every)
+        for line in summary_as_text(slices):
+            self.line(line)
+        if slices:
+            return Exit.OK
+        self.line_error("no log has a decision in that time")
+        return Exit.FAILED
+
+    def _bounds(self) -> tuple[Seconds, Seconds, Seconds | None]:
+        begin = _seconds("--from", self.option("from") or "-inf")
+        end = _seconds("--to", self.option("to") or "inf")
+        if not begin < end:
+            msg = f"--from {begin:g} is not before --to {end:g}: allowed is an earlier time"
+            raise ConfigError(msg)
+        text = self.option("every")
+        every = None if text is None else _seconds("--every", text)
+        if every is not None and not 0 < every < math.inf:
+            msg = f"--every {text!r}: allowed are seconds above 0, as in 2 or 0.5"
+            raise ConfigError(msg)
+        return begin, end, every
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -82,6 +82,18 @@
     took: Seconds = 0.0
     end: str = ""
 
+    def as_fields(self, arrived: Seconds) -> dict[str, object]:
+        """Return what the log tells of it; ``began_ms`` counts from the request's arrival."""
+        return {
+            "target": self.instance,
+            "why": self.why,
+            "expected": self.expected,
+            "report_age_ms": round(self.report_age * 1000),
+            "began_ms": round((self.began - arrived) * 1000, 1),
+            "took_ms": round(self.took * 1000, 1),
+            "end": self.end,
+        }
+
 
 @dataclass(slots=True, eq=False)
 class _Run:
@@ -465,16 +477,6 @@
             reason=ending.reason,
             detail=ending.detail,
             took_ms=round(took * 1000, 1),
-            tries=[
-                [
-                    t.instance,
-                    t.why,
-                    t.expected,
-                    round(t.report_age * 1000),
-                    round((t.began - run.request.arrived) * 1000, 1),
-                    round(t.took * 1000, 1),
-                    t.end,
-                ]
-                for t in run.tries
-            ],
+            target_latency_ms=None if run.kind is None else run.kind.target_latency * 1000,
+            tries=[t.as_fields(run.request.arrived) for t in run.tries],
         )
--- a/dunlinnotch/trace/request.py
+++ b/dunlinnotch/trace/request.py
@@ -111,6 +111,22 @@
     return beliefs
 
 
+def read_tries(line: LogLine) -> tuple[TargetTry, ...]:
+    """Return the targets that a ``route`` line tells of, in order."""
+    return tuple(
+        TargetTry(
+            instance=found["target"],
+            why=found["why"],
+            expected=found["expected"],
+            report_age=found["report_age_ms"],
+            began=found["began_ms"],
+            took=found["took_ms"],
+            end=found["end"],
+        )
+        for found in line.fields.get("tries", ())
+    )
+
+
 def _holds(request: str, file: Path) -> bool:
     """Return whether a log has a decision on the request, without keeping what it believed."""
     return any(_decides(line, request) for line in read_lines(file, having=request))
@@ -125,7 +141,7 @@
     for line in read_lines(file):
         beliefs.take(line)
         if _decides(line, request):
-            tries = tuple(TargetTry(*found) for found in line.fields.get("tries", ()))
+            tries = read_tries(line)
             yield Passage(line, tries, _kept(beliefs, {t.instance for t in tries}))
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -13,6 +13,8 @@
 from dunlinnotch.trace.lines import read_lines
 from dunlinnotch.trace.request import beliefs_at, trace_request
 
+TRY_FIELDS = ("target", "why", "expected", "report_age_ms", "began_ms", "took_ms", "end")
+
 
 def line(time, event, **fields):
     return json.dumps({"time": time, "level": "info", "event": event, **fields}) + "\n"
@@ -29,7 +31,8 @@
         "reason": "target-broken",
         "detail": "the connection was reset",
         "took_ms": 120.0,
-        "tries": [list(found) for found in tries],
+        "target_latency_ms": 200.0,
+        "tries": [dict(zip(TRY_FIELDS, found, strict=True)) for found in tries],
     }
     return line(time, "route", request=request, **{**plain, **fields})
 
--- /dev/null
+++ b/tests/test_trace_summary.py
@@ -0,0 +1,90 @@
+"""Summing up how a stretch of time went."""
+
+from __future__ import annotations
+
+import pytest
+
+from dunlinnotch.cli.common import Exit
+from dunlinnotch.trace.summary import Fate, summarise
+from tests.test_trace import line, route, run
+
+IN_TIME = ("i-1", "good", 1.0, 3, 10.0, 60.0, "Answered")
+LATE_AT_TARGET = ("i-1", "unasked", 2.5, 290, 40.0, 300.0, "Answered")
+LATE_HERE = ("i-2", "best", 1.5, 5, 180.0, 90.0, "Answered")
+
+
+@pytest.fixture
+def log(tmp_path):
+    lines = [
+        line(1.0, "started", box="front-1", place="hall-a"),
+        route(2.0, "r-1", IN_TIME, outcome="answered", took_ms=70.0, reason=None),
+        route(2.5, "r-2", LATE_AT_TARGET, outcome="answered", took_ms=340.0, reason=None),
+        # It came at 2.8 s, though it ended later.
+        route(3.1, "r-3", LATE_HERE, outcome="answered", took_ms=300.0, reason=None),
+        route(3.5, "r-4", outcome="not-run", reason="queue-full", took_ms=40.0),
+        route(3.6, "r-5", IN_TIME, outcome="unknown", reason="target-broken", took_ms=20.0),
+        route(3.7, "r-6", kind="other", outcome="unknown", reason="caller-gone", took_ms=1.0),
+    ]
+    file = tmp_path / "a.log"
+    file.write_text("".join(lines), encoding="utf-8")
+    return file
+
+
+def test_each_request_has_one_fate(log):
+    (whole,) = summarise([log])
+    lookup = whole.kinds["lookup"]
+    assert lookup.requests == 5
+    assert lookup.fates == {
+        Fate.IN_TIME: 1,
+        Fate.LATE_AT_TARGET: 1,
+        Fate.LATE_HERE: 1,
+        Fate.REFUSED: 1,
+        Fate.LOST: 1,
+    }
+    assert lookup.reasons == {"queue-full": 1, "target-broken": 1}
+    assert whole.kinds["other"].fates == {Fate.CALLER_GONE: 1}
+
+
+def test_tries_are_told_apart_by_how_they_were_chosen(log):
+    (whole,) = summarise([log])
+    choices = whole.kinds["lookup"].choices
+    assert {why: choice.tries for why, choice in choices.items()} == {
+        "good": 2,
+        "unasked": 1,
+        "best": 1,
+    }
+    assert (choices["unasked"].ages, choices["unasked"].took) == ([290], [300.0])
+
+
+def test_a_request_belongs_to_the_time_at_which_it_came(log):
+    slices = summarise([log], every=1.0)
+    counts = [(s.begin, sum(k.requests for k in s.kinds.values())) for s in slices]
+    assert counts == [(1.0, 1), (2.0, 2), (3.0, 3)]
+
+
+def test_only_the_time_asked_for_is_summed_up(log):
+    (part,) = summarise([log], begin=2.0, end=3.0)
+    assert part.kinds["lookup"].requests == 2
+
+
+def test_the_tool_prints_a_summary(log):
+    status, out, _ = run("trace summary", f"--from 1 --to 3 {log}")
+    assert status == Exit.OK
+    assert "from 1 to 3 s" in out
+    assert "lookup: 3 requests: in-time 1, late-at-target 1, late-here 1" in out
+    assert "unasked: 1 tries, report 290/290 ms old, sent after 40/40 ms" in out
+
+
+@pytest.mark.parametrize(
+    ("words", "status", "said"),
+    [
+        ("--from 90 {log}", Exit.FAILED, "no log has a decision in that time"),
+        ("--from 3 --to 2 {log}", Exit.INVALID, "--from 3 is not before --to 2"),
+        ("--every 0 {log}", Exit.INVALID, "--every '0': allowed are seconds above 0"),
+        ("--every soon {log}", Exit.INVALID, "--every 'soon': allowed are seconds"),
+    ],
+)
+def test_what_can_t_be_summed_up_is_said(log, words, status, said):
+    got, _, error = run("trace summary", words.format(log=log))
+    assert got == status
+    assert said in error
