One queue a service for requests that wait; two probes a request

By tries with a report of at most 3 ms, the time at a target is fixed when work starts there: 215 ms at up to 4 of 6 slots taken before it, 366 at the fifth, and what starts at a slow target takes five times as long. So a blind start costs twice the work of an informed one, and full targets stay full. Change: requests that find no good target wait in one queue a service, the most urgent first; two probes are under way for each, eight at most, and each target heard to be good, by a probe or by an answer to another request, takes the first that waits. A route line tells what was known when the target was chosen. Ruled out: scarce targets; at ahead <= 3 and usual speed the capacity is 1.5 times the burst.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -1,27 +1,29 @@
-"""Find a target for each request by asking a few just before it is sent.
+"""Find a target for each request by reports of the last milliseconds.
 
-A request goes to the first target that is good.  While none is, others are
-asked; after a share of the target latency the best that answered is taken,
-unless too many requests wait there.
+A request goes to the first target that is good by a report just heard: one
+that a probe brought, or the answer to another request.  Requests that find none
+wait in one queue for each service, the most urgent first.  A few targets are
+asked for the queue at a time, so that probes last; each target heard to be good
+takes the first that waits.  See ``docs/design/overload.md``.
 """
 
 from __future__ import annotations
 
 import asyncio
+import bisect
 import itertools
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.choosing.fresh import FRESH_S, excess
+from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import TargetReport
 
 if TYPE_CHECKING:
     import logging
-    import random
-    from collections.abc import Callable, Collection, Coroutine
+    from collections.abc import Callable, Collection, Coroutine, Iterator
 
     from dunlinnotch.coordination.budgets.shares import ProbeShare
     from dunlinnotch.coordination.choosing.fresh import FreshChooser
@@ -29,37 +31,92 @@
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.types import Seconds
 
-#: Pause before targets are asked again, in seconds.
+#: Probes under way at once for each request that waits.
+_ASKED_PER_REQUEST = 2
+#: Probes under way at once for one service, at most.
+_ASKED_MOST = 8
+#: Pause before targets that were just heard are asked again, in seconds.
 _PAUSE_S = 0.015
 #: Requests that may wait at a target, as a share of its slots, by rank.
 _WAIT_AT_TARGET = (1.0, 1.0, 0.67)
-#: Longest wait for the answers of the targets asked at once, in seconds.
-_ASK_S = 0.04
+#: A probe without an answer for so long no longer holds up others, in seconds: several
+#: round trips between places.
+_ASK_PATIENCE_S = 0.015
 #: A probe without an answer for so long counts as a failure, in seconds.
 _ASK_LOST_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
-class AskPlan:
-    """How many targets are asked before a request is sent.
+class Pick:
+    """A target chosen, and what was known of it then.
 
     Parameters
     ----------
-    first, more : int
-        Targets asked at once, and further ones if none of those is good.
+    instance : Instance
+    asked : Asked or None
+        The probe that spoke for it, with its connection.
+    why : str
+        ``good`` by a probe just answered, ``fresh`` by a report that came otherwise,
+        ``best`` of what is known where none was good in time, ``unasked`` if nothing is.
+    expected : float
+        Expected time, as a multiple of the usual one.
+    ahead : int
+        Requests there before this one.
+    slowness : float
+        How long work takes there; 1 is usual.
+    report_age : float
+        Seconds since the report came.
     """
 
-    first: int = 4
-    more: int = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Pick:
-    """A target chosen, with the probe that spoke for it."""
-
     instance: Instance
     asked: Asked | None
     why: str
+    expected: float
+    ahead: int
+    slowness: float
+    report_age: Seconds
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """One request that waits for a target."""
+
+    rank: int
+    number: int
+    tried: Collection[str]
+    picked: asyncio.Future[Pick]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """The most urgent first, then by arrival."""
+        return (self.rank, self.number)
+
+
+@dataclass(slots=True, eq=False)
+class _Queue:
+    """The requests that wait for a target of one service."""
+
+    service: str
+    waiters: list[_Waiter] = field(default_factory=list)
+    #: Targets asked, whose answers are being waited for.
+    asking: set[Instance] = field(default_factory=set)
+    #: Those of them that have had time enough.
+    overdue: set[Instance] = field(default_factory=set)
+    again: asyncio.TimerHandle | None = None
+
+    def first_for(self, instance: Instance) -> _Waiter | None:
+        """Take out the first request that may go to a target."""
+        for waiter in self.waiters:
+            if instance.name not in waiter.tried:
+                self.waiters.remove(waiter)
+                return waiter
+        return None
+
+    @property
+    def wanted(self) -> int:
+        """Probes that may be sent now."""
+        most = min(_ASKED_MOST, _ASKED_PER_REQUEST * len(self.waiters))
+        return most - len(self.asking) + len(self.overdue)
 
 
 class TargetSeeker:
@@ -73,8 +130,6 @@
     probe_path : callable
         Returns the path of a service's health check; empty if there is none.
     targets : TargetPort
-    plan : AskPlan
-    rng : random.Random
     log : logging.Logger
     """
 
@@ -86,8 +141,6 @@
         probes: ProbeShare,
         probe_path: Callable[[str], str],
         targets: TargetPort,
-        plan: AskPlan,
-        rng: random.Random,
         log: logging.Logger,
     ) -> None:
         self._instances = instances
@@ -95,11 +148,11 @@
         self._probes = probes
         self._probe_path = probe_path
         self._targets = targets
-        self._plan = plan
-        self._rng = rng
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._running: set[asyncio.Task[None]] = set()
+        self._queues: dict[str, _Queue] = {}
+        self._arrivals = 0
 
     async def choose(
         self,
@@ -129,132 +182,186 @@
             The same for a target where it has to wait for others: a place in a queue
             that ends late would make those behind it late too.
         """
-        while True:
-            pick = self._known_good(service, tried) or await self._ask_round(service, tried)
-            now = self._loop.time()
-            last_chance = now + _PAUSE_S >= give_up
-            if pick is not None:
-                if self._chooser.good(pick.instance, now):
-                    return pick
-                if last_chance and self._bearable(pick.instance, rank, (most, most_waiting), now):
-                    return pick
-                self.release(pick)
-            if last_chance:
-                return None
-            await asyncio.sleep(_PAUSE_S * (0.7 + 0.6 * self._rng.random()))
-
-    def _bearable(
-        self, instance: Instance, rank: int, most: tuple[float, float], now: Seconds
-    ) -> bool:
-        """Return whether a request may be sent to a target that is not good."""
-        expected = self._chooser.expected(instance, now)
-        if excess(instance) <= 0:
-            return expected <= most[0]
-        wait = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
-        return excess(instance) <= wait and expected <= min(most)
+        if all(i.name in tried for i in self._instances.of(service)):
+            tried = ()
+        queue = self._queues.setdefault(service, _Queue(service))
+        pick = None if queue.waiters else self._known_good(service, tried)
+        pick = pick or await self._wait(queue, rank, tried, give_up)
+        if pick is not None:
+            return pick
+        return self._last_chance(service, rank, tried, (most, most_waiting))
 
     def release(self, pick: Pick) -> None:
         """Give back a target that is not used."""
+        instance = pick.instance
+        instance.sent_since_report = max(0, instance.sent_since_report - 1)
         if pick.asked is not None:
-            self._targets.release(pick.instance.address, pick.asked)
+            self._targets.release(instance.address, pick.asked)
 
     def heard(self, instance: Instance, report: TargetReport | None) -> None:
-        """Take in a report that this box has got itself."""
+        """Take in a report that came with an answer; who waits may use it."""
         if report is None:
             return
         instance.heard(report, self._loop.time())
+        queue = self._queues.get(instance.listed.service)
+        if queue is not None:
+            self._offer(queue, instance, None)
 
-    # -- asking
+    # -- waiting for a good target
 
     def _known_good(self, service: str, tried: Collection[str]) -> Pick | None:
-        """Return one of those to ask that is good by a report of the last milliseconds.
-
-        Notes
-        -----
-        Of those to ask only: taking the best known of all sends a box's
-        requests to the one target that it has just heard, again and again.
-        """
+        """Return a target that is good by a report of the last milliseconds."""
         now = self._loop.time()
-        order = self._chooser.order(self._instances.of(service), now, exclude=tried)
-        for instance in order[: self._plan.first]:
+        for instance in self._chooser.order(self._instances.of(service), now, exclude=tried):
             if now - instance.reported_at < FRESH_S and self._chooser.good(instance, now):
-                return Pick(instance, None, "fresh")
+                return self._pick(instance, None, "fresh")
         return None
 
-    async def _ask_round(self, service: str, tried: Collection[str]) -> Pick | None:
-        """Ask a few targets; return the first good one, else the best that answered."""
+    async def _wait(
+        self, queue: _Queue, rank: int, tried: Collection[str], give_up: Seconds
+    ) -> Pick | None:
+        """Wait in a queue until a target is heard to be good."""
+        self._arrivals += 1
+        waiter = _Waiter(rank, self._arrivals, tried, self._loop.create_future())
+        bisect.insort(queue.waiters, waiter, key=lambda w: w.order)
+        self._ask_for(queue)
+        try:
+            # Who comes late has at least the time of one probe.
+            async with asyncio.timeout_at(max(give_up, self._loop.time() + _ASK_PATIENCE_S)):
+                return await asyncio.shield(waiter.picked)
+        except TimeoutError:
+            return waiter.picked.result() if waiter.picked.done() else None
+        except asyncio.CancelledError:
+            if waiter.picked.done():
+                self.release(waiter.picked.result())
+            raise
+        finally:
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
+
+    def _offer(self, queue: _Queue, instance: Instance, asked: Asked | None) -> bool:
+        """Hand a target to those that wait, as long as it is good; return if a probe was used."""
+        used = False
+        while (
+            queue.waiters
+            and not instance.replaced
+            and self._chooser.good(instance, self._loop.time())
+        ):
+            waiter = queue.first_for(instance)
+            if waiter is None:
+                break
+            probe = None if used else asked
+            waiter.picked.set_result(self._pick(instance, probe, "good" if asked else "fresh"))
+            used = used or asked is not None
+        return used
+
+    def _pick(self, instance: Instance, asked: Asked | None, why: str) -> Pick:
         now = self._loop.time()
-        instances = self._instances.of(service)
-        order = self._chooser.order(instances, now, exclude=tried)
-        order = order or self._chooser.order(instances, now, exclude=())
+        report = instance.report
+        pick = Pick(
+            instance,
+            asked,
+            why,
+            expected=self._chooser.expected(instance, now),
+            ahead=instance.ahead,
+            slowness=1.0 if report is None else report.slowness,
+            report_age=now - instance.reported_at,
+        )
+        instance.sent_since_report += 1
+        return pick
+
+    # -- where none was good in time
+
+    def _last_chance(
+        self, service: str, rank: int, tried: Collection[str], most: tuple[float, float]
+    ) -> Pick | None:
+        """Return the best of what is known, if the request may go there."""
+        now = self._loop.time()
+        order = self._chooser.order(self._instances.of(service), now, exclude=tried)
+        order = [i for i in order if now >= i.aside_until] or order
         if not order:
             return None
-        answers: dict[Instance, Asked] = {}
-        # Those whose probes are used up are passed over: the budget is for each target.
-        askable = (i for i in order if self._probes.has_left(i.name))
-        try:
-            for count in (self._plan.first, self._plan.more):
-                group = list(itertools.islice(askable, count))
-                good = await self._ask_group(group, service, answers)
-                if good is not None:
-                    return self._take(good, answers, "good")
-        except BaseException:
-            for instance, asked in answers.items():
-                self._targets.release(instance.address, asked)
-            raise
-        return self._best(order, answers)
+        best = min(order, key=lambda i: self._chooser.expected(i, now))
+        if not self._bearable(best, rank, most, now):
+            return None
+        known = now - best.reported_at <= USEFUL_S
+        return self._pick(best, None, "best" if known else "unasked")
+
+    def _bearable(
+        self, instance: Instance, rank: int, most: tuple[float, float], now: Seconds
+    ) -> bool:
+        """Return whether a request may be sent to a target that is not good."""
+        expected = self._chooser.expected(instance, now)
+        if excess(instance) <= 0:
+            return expected <= most[0]
+        wait = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
+        return excess(instance) <= wait and expected <= min(most)
 
-    def _take(self, chosen: Instance, answers: dict[Instance, Asked], why: str) -> Pick:
-        for instance, asked in answers.items():
-            if instance is not chosen:
-                self._targets.release(instance.address, asked)
-        return Pick(chosen, answers.get(chosen), why)
+    # -- asking
 
-    def _best(self, order: list[Instance], answers: dict[Instance, Asked]) -> Pick | None:
-        now = self._loop.time()
-        if answers:
-            best = min(answers, key=lambda i: self._chooser.expected(i, now))
-            return self._take(best, answers, "best")
-        rest = [i for i in order if now >= i.aside_until] or order
-        best = min(rest, key=lambda i: self._chooser.expected(i, now) + self._rng.random())
-        return Pick(best, None, "unasked")
-
-    async def _ask_group(
-        self, group: list[Instance], service: str, answers: dict[Instance, Asked]
-    ) -> Instance | None:
-        """Ask some targets at once; return the first that is good."""
-        path = self._probe_path(service)
+    def _ask_for(self, queue: _Queue) -> None:
+        """Ask targets for those that wait, a few at a time."""
+        path = self._probe_path(queue.service)
         if not path:
-            return None
-        heard: asyncio.Queue[tuple[Instance, Asked]] = asyncio.Queue()
-        waiting = 0
-        for instance in group:
-            if self._probes.take(instance.name):
-                self._spawn(self._ask(instance, path, heard))
-                waiting += 1
-        until = self._loop.time() + _ASK_S
+            return
+        wanted = queue.wanted
+        if wanted <= 0:
+            return
+        asked = list(itertools.islice(self._to_ask(queue), wanted))
+        for instance in asked:
+            self._probes.take(instance.name)
+            queue.asking.add(instance)
+            self._spawn(self._ask(queue, instance, path))
+        if len(asked) < wanted:
+            self._ask_again_later(queue)
+
+    def _to_ask(self, queue: _Queue) -> Iterator[Instance]:
+        """Yield the targets to ask: none just asked, none whose probes are used up."""
+        now = self._loop.time()
+        for instance in self._chooser.order(self._instances.of(queue.service), now, exclude=()):
+            if instance in queue.asking or now - instance.asked_at < _PAUSE_S:
+                continue
+            if self._probes.has_left(instance.name):
+                yield instance
+
+    def _ask_again_later(self, queue: _Queue) -> None:
+        if queue.again is None:
+            queue.again = self._loop.call_later(_PAUSE_S, self._ask_again, queue)
+
+    def _ask_again(self, queue: _Queue) -> None:
+        queue.again = None
+        if queue.waiters:
+            self._ask_for(queue)
+
+    async def _ask(self, queue: _Queue, instance: Instance, path: str) -> None:
+        """Ask one target; what it says is offered to those that wait."""
+        instance.asked_at = self._loop.time()
+        patience = self._loop.call_later(_ASK_PATIENCE_S, self._overdue, queue, instance)
         try:
-            while waiting:
-                try:
-                    async with asyncio.timeout_at(until):
-                        instance, asked = await heard.get()
-                except TimeoutError:
-                    return None
-                waiting -= 1
-                if asked.instance is None:
-                    continue
-                if not self._usable(instance, asked):
-                    self._targets.release(instance.address, asked)
-                    continue
-                answers[instance] = asked
-                if self._chooser.good(instance, self._loop.time()):
-                    return instance
-            return None
+            async with asyncio.timeout(_ASK_LOST_S):
+                asked = await self._targets.ask(instance.address, path)
+        except TimeoutError:
+            asked = Asked(None, False, None, "no answer to a probe")
         finally:
-            if waiting:
-                self._spawn(self._release_late(heard, waiting))
+            patience.cancel()
+            queue.asking.discard(instance)
+            queue.overdue.discard(instance)
+        used = self._take_answer(instance, asked) and self._offer(queue, instance, asked)
+        if not used:
+            self._targets.release(instance.address, asked)
+        if queue.waiters:
+            self._ask_for(queue)
+
+    def _overdue(self, queue: _Queue, instance: Instance) -> None:
+        queue.overdue.add(instance)
+        if queue.waiters:
+            self._ask_for(queue)
 
-    def _usable(self, instance: Instance, asked: Asked) -> bool:
+    def _take_answer(self, instance: Instance, asked: Asked) -> bool:
+        """Note what a probe told; return whether the target may be used."""
+        if asked.instance is None:
+            self._chooser.failed(instance, self._loop.time())
+            return False
         if asked.instance != instance.name:
             if self._instances.leave(instance.name):
                 event(
@@ -267,33 +374,12 @@
                     now_there=asked.instance,
                 )
             return False
+        instance.well = asked.well
+        # A target that tells no load: what this box has there is all that is known.
+        own = TargetReport(instance.own, 0, max(1, instance.listed.slots))
+        instance.heard(asked.report or own, self._loop.time())
         return not instance.replaced
 
-    async def _ask(
-        self, instance: Instance, path: str, heard: asyncio.Queue[tuple[Instance, Asked]]
-    ) -> None:
-        try:
-            async with asyncio.timeout(_ASK_LOST_S):
-                asked = await self._targets.ask(instance.address, path)
-        except TimeoutError:
-            asked = Asked(None, False, None, "no answer to a probe")
-        if asked.instance is None:
-            self._chooser.failed(instance, self._loop.time())
-        elif asked.instance == instance.name:
-            instance.well = asked.well
-            # A target that tells no load: what this box has there is all that is known.
-            own = TargetReport(instance.own, 0, max(1, instance.listed.slots))
-            instance.heard(asked.report or own, self._loop.time())
-        heard.put_nowait((instance, asked))
-
-    async def _release_late(
-        self, heard: asyncio.Queue[tuple[Instance, Asked]], waiting: int
-    ) -> None:
-        """Give back the connections of probes that answer after the choice was made."""
-        for _ in range(waiting):
-            instance, asked = await heard.get()
-            self._targets.release(instance.address, asked)
-
     def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run something that goes on when the request that began it does not wait for it."""
         task = self._loop.create_task(work)
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -74,10 +74,7 @@
 class _Try:
     """One target that a request was sent to, for the log."""
 
-    instance: str
-    why: str
-    expected: float
-    report_age: Seconds
+    pick: Pick
     began: Seconds
     took: Seconds = 0.0
     end: str = ""
@@ -85,10 +82,12 @@
     def as_fields(self, arrived: Seconds) -> dict[str, object]:
         """Return what the log tells of it; ``began_ms`` counts from the request's arrival."""
         return {
-            "target": self.instance,
-            "why": self.why,
-            "expected": self.expected,
-            "report_age_ms": round(self.report_age * 1000),
+            "target": self.pick.instance.name,
+            "why": self.pick.why,
+            "expected": round(self.pick.expected, 2),
+            "ahead": self.pick.ahead,
+            "slowness": self.pick.slowness,
+            "report_age_ms": round(self.pick.report_age * 1000),
             "began_ms": round((self.began - arrived) * 1000, 1),
             "took_ms": round(self.took * 1000, 1),
             "end": self.end,
@@ -334,16 +333,12 @@
         now = self._loop.time()
         request = run.request
         left = min(request.deadline, request.arrived + kind.timeout) - now
-        age = now - instance.reported_at
-        trial = _Try(
-            instance.name, pick.why, round(self._chooser.expected(instance, now), 2), age, now
-        )
+        trial = _Try(pick, began=now)
         run.tries.append(trial)
         run.tried.add(instance.name)
         run.sends += 1
         run.may_have_run = True
         instance.own += 1
-        instance.sent_since_report += 1
         try:
             end = await self._targets.attempt(
                 instance.address,
@@ -452,8 +447,8 @@
     def _note_usual(self, run: _Run, kind: RequestKind) -> None:
         """Learn how long a kind takes at a target of usual speed with free slots."""
         trial = run.tries[-1]
-        if trial.expected <= _USUAL_EXPECTED:
-            took = trial.took / max(1.0, trial.expected)
+        if trial.pick.expected <= _USUAL_EXPECTED:
+            took = trial.took / max(1.0, trial.pick.expected)
             usual = self._usual.get(kind.name, took)
             self._usual[kind.name] = usual + _USUAL_GAIN * (took - usual)
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -12,7 +12,7 @@
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
-from dunlinnotch.coordination.choosing.asking import AskPlan, TargetSeeker
+from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, Mesh
 from dunlinnotch.coordination.requests.forward import Forwarder
@@ -175,8 +175,6 @@
             probes=self.probes,
             probe_path=self._probe_path,
             targets=self._targets,
-            plan=AskPlan(),
-            rng=rng,
             log=_log,
         )
         self.forwarder = Forwarder(
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -73,6 +73,7 @@
     sent_since_report: int = 0
     report: TargetReport | None = None
     reported_at: Seconds = -1e9
+    asked_at: Seconds = -1e9
     failures: int = 0
     aside_until: Seconds = 0.0
     replaced: bool = False
@@ -89,6 +90,13 @@
         """Where it is reached."""
         return self.listed.address
 
+    @property
+    def ahead(self) -> int:
+        """Requests there, as far as this box knows: by its last report, and sent since."""
+        report = self.report
+        known = self.own if report is None else report.running + report.waiting
+        return known + self.sent_since_report
+
     def heard(self, report: TargetReport, now: Seconds) -> None:
         """Take in what the target says of its load."""
         self.report = report
--- a/dunlinnotch/trace/request.py
+++ b/dunlinnotch/trace/request.py
@@ -31,6 +31,10 @@
         ``why`` tells how it was chosen.
     expected : float
         Expected time, as a multiple of the usual one.
+    ahead : int
+        Requests at the target before it, as far as its box knew.
+    slowness : float
+        How long work took there by its report; 1 is usual.
     report_age, began, took : float
         ``began`` counts from the request's arrival.
     end : str
@@ -39,6 +43,8 @@
     instance: str
     why: str
     expected: float
+    ahead: int
+    slowness: float
     report_age: float
     began: float
     took: float
@@ -118,6 +124,8 @@
             instance=found["target"],
             why=found["why"],
             expected=found["expected"],
+            ahead=found["ahead"],
+            slowness=found["slowness"],
             report_age=found["report_age_ms"],
             began=found["began_ms"],
             took=found["took_ms"],
--- a/dunlinnotch/trace/summary.py
+++ b/dunlinnotch/trace/summary.py
@@ -184,7 +184,7 @@
     """Return the lines that show a summary."""
     for found in slices:
         if math.isfinite(found.begin) or math.isfinite(found.end):
-            yield f"from {found.begin:g} to {found.end:g} s"
+            yield f"from {found.begin:.1f} to {found.end:.1f} s"
         for name, kind in sorted(found.kinds.items()):
             yield from _kind_as_text(name, kind)
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -9,7 +9,7 @@
 import pytest
 
 from dunlinnotch.coordination.budgets.shares import ProbeShare
-from dunlinnotch.coordination.choosing.asking import AskPlan, TargetSeeker
+from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import InstanceList, ListedTarget, TargetReport
@@ -49,15 +49,13 @@
             probes=probes,
             probe_path=lambda service: "/health",
             targets=targets,
-            plan=AskPlan(first=2, more=2),
-            rng=rng,
             log=logging.getLogger("test"),
         )
         picks = []
         for _ in range(times):
             # What was heard before is as good as forgotten.
             for instance in instances.all():
-                instance.reported_at = -1e9
+                instance.reported_at = instance.asked_at = -1e9
             picks.append(await seeker.choose("s", rank=0, tried=(), give_up=0.0, **limits))
         return [pick and (pick.instance.name, pick.why) for pick in picks], targets.asked
 
@@ -117,3 +115,150 @@
         **limits,
     )
     assert (picks[0] is not None) is taken
+
+
+# -- the queue
+
+
+class SlowTargets(Targets):
+    """Targets whose probes are answered when the test says so."""
+
+    def __init__(self):
+        super().__init__({})
+        self.waiting = {}
+        self.released = []
+
+    async def ask(self, address, path):
+        name = address.partition(":")[0]
+        self.asked.append(name)
+        self.waiting[name] = asyncio.get_running_loop().create_future()
+        return await self.waiting[name]
+
+    def release(self, address, asked):
+        self.released.append(address.partition(":")[0])
+
+    def answer(self, name, *, running=0, slowness=1.0):
+        report = TargetReport(running, 0, 3, slowness)
+        self.waiting.pop(name).set_result(Asked(name, True, report, ""))
+
+
+def queued(names, act, **kwargs):
+    """Run ``act`` with a seeker whose probes are answered by hand."""
+
+    async def bounded():
+        instances = InstanceList()
+        for place, name in names:
+            instances.take(ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0), 0.0)
+        targets = SlowTargets()
+        loop = asyncio.get_running_loop()
+        seeker = TargetSeeker(
+            instances=instances,
+            chooser=FreshChooser(place="hall-a", rng=random.Random(1)),
+            probes=ProbeShare(60.0, clock=loop.time),
+            probe_path=lambda service: "/health",
+            targets=targets,
+            log=logging.getLogger("test"),
+        )
+
+        def choose(rank=0, tried=(), wait=20.0):
+            give_up = loop.time() + wait
+            work = seeker.choose("s", rank=rank, tried=tried, give_up=give_up, most=1.0)
+            return asyncio.ensure_future(work)
+
+        await act(seeker, instances, targets, choose)
+
+    asyncio.run(bounded())
+
+
+async def turns():
+    """Let everything that is ready run."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def test_each_that_waits_has_two_probes_under_way_and_all_together_a_bounded_number():
+    async def act(seeker, instances, targets, choose):
+        waiting = [choose()]
+        await turns()
+        assert len(targets.asked) == 2
+        waiting += [choose() for _ in range(9)]
+        await turns()
+        assert len(targets.asked) == len(set(targets.asked)) == 8
+        for task in waiting:
+            task.cancel()
+
+    queued([("hall-a", f"t-{n}") for n in range(20)], act)
+
+
+def test_the_most_urgent_that_waits_gets_the_first_good_target():
+    async def act(seeker, instances, targets, choose):
+        later, urgent = choose(rank=2), choose(rank=0)
+        await turns()
+        # It has room for one: a third of three slots would be slow.
+        targets.answer("t-0", running=1)
+        await turns()
+        assert urgent.done()
+        assert not later.done()
+        targets.answer("t-1")
+        assert (await later).instance.name == "t-1"
+
+    queued([("hall-a", "t-0"), ("hall-a", "t-1")], act)
+
+
+def test_an_answer_s_report_hands_its_target_to_one_that_waits():
+    async def act(seeker, instances, targets, choose):
+        waiting = [choose() for _ in range(3)]
+        await turns()
+        (instance,) = instances.of("s")
+        # One of three slots is taken; a third one would be slow.
+        seeker.heard(instance, TargetReport(1, 0, 3))
+        await turns()
+        assert [task.done() for task in waiting] == [True, False, False]
+        assert waiting[0].result().why == "fresh"
+        for task in waiting[1:]:
+            task.cancel()
+
+    queued([("hall-a", "t-0")], act)
+
+
+def test_a_target_that_was_tried_is_not_handed_to_the_same_request():
+    async def act(seeker, instances, targets, choose):
+        again, other = choose(tried=("t-0",)), choose()
+        await turns()
+        targets.answer("t-0")
+        await turns()
+        assert other.done()
+        assert not again.done()
+        targets.answer("t-1")
+        assert (await again).instance.name == "t-1"
+
+    queued([("hall-a", "t-0"), ("hall-a", "t-1")], act)
+
+
+def test_a_request_that_is_given_up_leaves_the_queue_and_gives_back_its_target():
+    async def act(seeker, instances, targets, choose):
+        first, second = choose(), choose()
+        await turns()
+        targets.answer("t-0")
+        first.cancel()
+        await turns()
+        (instance,) = instances.of("s")
+        assert first.cancelled()
+        # Whoever comes next finds the target as free as before.
+        assert second.done()
+        assert instance.sent_since_report == 1
+
+    queued([("hall-a", "t-0")], act)
+
+
+def test_a_probe_that_hangs_does_not_hold_up_the_next():
+    async def act(seeker, instances, targets, choose):
+        waiting = choose()
+        await turns()
+        assert len(targets.asked) == 2
+        while len(targets.asked) < 4:  # nobody answers; others are asked all the same
+            await asyncio.sleep(0.001)
+        targets.answer(targets.asked[3])
+        assert (await waiting).instance.name == targets.asked[3]
+
+    queued([("hall-a", f"t-{n}") for n in range(6)], act)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -13,7 +13,17 @@
 from dunlinnotch.trace.lines import read_lines
 from dunlinnotch.trace.request import beliefs_at, trace_request
 
-TRY_FIELDS = ("target", "why", "expected", "report_age_ms", "began_ms", "took_ms", "end")
+TRY_FIELDS = (
+    "target",
+    "why",
+    "expected",
+    "ahead",
+    "slowness",
+    "report_age_ms",
+    "began_ms",
+    "took_ms",
+    "end",
+)
 
 
 def line(time, event, **fields):
@@ -50,9 +60,11 @@
         "Traceback: no event at all\n",
         line(4.0, "settings-in-force", version=4, before=3, kinds=2),
         line(4.5, "target-gone", instance="i-1", target="10.0.0.1:1", why="gone"),
-        route(5.0, "r-1", ("i-1", "good", 1.0, 3, 0.5, 60.0, "Broken")),
+        route(5.0, "r-1", ("i-1", "good", 1.0, 0, 1.0, 3, 0.5, 60.0, "Broken")),
         line(5.5, "store-regained", table="targets", failures=3),
-        route(6.0, "r-2", ("i-2", "fresh", 1.2, 3, 0.5, 60.0, "Answered"), outcome="answered"),
+        route(
+            6.0, "r-2", ("i-2", "fresh", 1.2, 0, 1.0, 3, 0.5, 60.0, "Answered"), outcome="answered"
+        ),
         '{"time": 6.5, "event": "cut off amid',
     ]
     second = [
--- a/tests/test_trace_summary.py
+++ b/tests/test_trace_summary.py
@@ -8,9 +8,9 @@
 from dunlinnotch.trace.summary import Fate, summarise
 from tests.test_trace import line, route, run
 
-IN_TIME = ("i-1", "good", 1.0, 3, 10.0, 60.0, "Answered")
-LATE_AT_TARGET = ("i-1", "unasked", 2.5, 290, 40.0, 300.0, "Answered")
-LATE_HERE = ("i-2", "best", 1.5, 5, 180.0, 90.0, "Answered")
+IN_TIME = ("i-1", "good", 1.0, 0, 1.0, 3, 10.0, 60.0, "Answered")
+LATE_AT_TARGET = ("i-1", "unasked", 2.5, 0, 1.0, 290, 40.0, 300.0, "Answered")
+LATE_HERE = ("i-2", "best", 1.5, 0, 1.0, 5, 180.0, 90.0, "Answered")
 
 
 @pytest.fixture
@@ -70,7 +70,7 @@
 def test_the_tool_prints_a_summary(log):
     status, out, _ = run("trace summary", f"--from 1 --to 3 {log}")
     assert status == Exit.OK
-    assert "from 1 to 3 s" in out
+    assert "from 1.0 to 3.0 s" in out
     assert "lookup: 3 requests: in-time 1, late-at-target 1, late-here 1" in out
     assert "unasked: 1 tries, report 290/290 ms old, sent after 40/40 ms" in out
 
