Send nothing to wait at a target; thin out nearly full ones as probes find them full

Cause: at the end of its wait a request took the best target known, also one with all slots taken or slowed down by fullness. Change: nothing waits at a target; a nearly full one takes a request only where it still ends in time, and with a chance that falls to none as the share of probes that find a full target rises from 0.6 to 0.85. Slow targets are taken beyond the target latency only where none has been good for 0.5 s.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -17,12 +17,14 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess
+from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess, is_full
+from dunlinnotch.coordination.choosing.saturation import Saturation
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import TargetReport
 
 if TYPE_CHECKING:
     import logging
+    import random
     from collections.abc import Callable, Collection, Coroutine, Iterator
 
     from dunlinnotch.coordination.budgets.shares import ProbeShare
@@ -37,8 +39,9 @@
 _ASKED_MOST = 8
 #: Pause before targets that were just heard are asked again, in seconds.
 _PAUSE_S = 0.015
-#: Requests that may wait at a target, as a share of its slots, by rank.
-_WAIT_AT_TARGET = (1.0, 1.0, 0.67)
+#: Where no target of a service was good for so long, slow ones are what there is, in
+#: seconds: longer than a target shared with others is slow at a time.
+_SLOW_FOR_S = 0.5
 #: A probe without an answer for so long no longer holds up others, in seconds: several
 #: round trips between places.
 _ASK_PATIENCE_S = 0.015
@@ -97,11 +100,14 @@
     """The requests that wait for a target of one service."""
 
     service: str
+    saturation: Saturation
     waiters: list[_Waiter] = field(default_factory=list)
     #: Targets asked, whose answers are being waited for.
     asking: set[Instance] = field(default_factory=set)
     #: Those of them that have had time enough.
     overdue: set[Instance] = field(default_factory=set)
+    #: When a target was last chosen that was good.
+    good_at: Seconds = -math.inf
     again: asyncio.TimerHandle | None = None
 
     def first_for(self, instance: Instance) -> _Waiter | None:
@@ -130,6 +136,7 @@
     probe_path : callable
         Returns the path of a service's health check; empty if there is none.
     targets : TargetPort
+    rng : random.Random
     log : logging.Logger
     """
 
@@ -141,6 +148,7 @@
         probes: ProbeShare,
         probe_path: Callable[[str], str],
         targets: TargetPort,
+        rng: random.Random,
         log: logging.Logger,
     ) -> None:
         self._instances = instances
@@ -148,6 +156,7 @@
         self._probes = probes
         self._probe_path = probe_path
         self._targets = targets
+        self._rng = rng
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._running: set[asyncio.Task[None]] = set()
@@ -162,7 +171,7 @@
         tried: Collection[str],
         give_up: Seconds,
         most: float = math.inf,
-        most_waiting: float = math.inf,
+        most_late: float = math.inf,
     ) -> Pick | None:
         """Return a target for one request, or None if there is none in time.
 
@@ -170,26 +179,27 @@
         ----------
         service : str
         rank : int
-            0 is the most urgent; the less urgent may not wait as long at a target.
+            0 is the most urgent.
         tried : collection of str
             Targets that the request has been sent to.
         give_up : float
             Monotonic seconds until which a good target is waited for.
         most : float, optional
             Greatest expected time, as a multiple of the usual one, at which the
-            request still ends in time.
-        most_waiting : float, optional
-            The same for a target where it has to wait for others: a place in a queue
-            that ends late would make those behind it late too.
+            request still ends within its target latency.
+        most_late : float, optional
+            The same for an end within its timeout; it counts where no target of the
+            service has been good for a while.
         """
         if all(i.name in tried for i in self._instances.of(service)):
             tried = ()
-        queue = self._queues.setdefault(service, _Queue(service))
+        queue = self._queue(service)
         pick = None if queue.waiters else self._known_good(service, tried)
         pick = pick or await self._wait(queue, rank, tried, give_up)
         if pick is not None:
             return pick
-        return self._last_chance(service, rank, tried, (most, most_waiting))
+        slow_for = self._loop.time() - queue.good_at
+        return self._last_chance(queue, tried, most if slow_for < _SLOW_FOR_S else most_late)
 
     def release(self, pick: Pick) -> None:
         """Give back a target that is not used."""
@@ -207,6 +217,13 @@
         if queue is not None:
             self._offer(queue, instance, None)
 
+    def _queue(self, service: str) -> _Queue:
+        queue = self._queues.get(service)
+        if queue is None:
+            saturation = Saturation(clock=self._loop.time)
+            queue = self._queues[service] = _Queue(service, saturation)
+        return queue
+
     # -- waiting for a good target
 
     def _known_good(self, service: str, tried: Collection[str]) -> Pick | None:
@@ -268,34 +285,36 @@
             report_age=now - instance.reported_at,
         )
         instance.sent_since_report += 1
+        if why in ("good", "fresh"):
+            self._queue(instance.listed.service).good_at = now
         return pick
 
     # -- where none was good in time
 
-    def _last_chance(
-        self, service: str, rank: int, tried: Collection[str], most: tuple[float, float]
-    ) -> Pick | None:
+    def _last_chance(self, queue: _Queue, tried: Collection[str], most: float) -> Pick | None:
         """Return the best of what is known, if the request may go there."""
         now = self._loop.time()
-        order = self._chooser.order(self._instances.of(service), now, exclude=tried)
+        order = self._chooser.order(self._instances.of(queue.service), now, exclude=tried)
         order = [i for i in order if now >= i.aside_until] or order
         if not order:
             return None
         best = min(order, key=lambda i: self._chooser.expected(i, now))
-        if not self._bearable(best, rank, most, now):
+        if not self._bearable(queue, best, most, now):
             return None
         known = now - best.reported_at <= USEFUL_S
         return self._pick(best, None, "best" if known else "unasked")
 
-    def _bearable(
-        self, instance: Instance, rank: int, most: tuple[float, float], now: Seconds
-    ) -> bool:
-        """Return whether a request may be sent to a target that is not good."""
-        expected = self._chooser.expected(instance, now)
-        if excess(instance) <= 0:
-            return expected <= most[0]
-        wait = _WAIT_AT_TARGET[min(rank, len(_WAIT_AT_TARGET) - 1)]
-        return excess(instance) <= wait and expected <= min(most)
+    def _bearable(self, queue: _Queue, instance: Instance, most: float, now: Seconds) -> bool:
+        """Return whether a request may be sent to a target that was not good in time.
+
+        Notes
+        -----
+        Nothing waits at a target: what starts there starts at a speed that nobody
+        knows beforehand, and those behind it are late too.
+        """
+        if excess(instance) > 0 or self._chooser.expected(instance, now) > most:
+            return False
+        return self._chooser.good(instance, now) or self._rng.random() < queue.saturation.room
 
     # -- asking
 
@@ -346,7 +365,10 @@
             patience.cancel()
             queue.asking.discard(instance)
             queue.overdue.discard(instance)
-        used = self._take_answer(instance, asked) and self._offer(queue, instance, asked)
+        usable = self._take_answer(instance, asked)
+        if usable:
+            queue.saturation.note(full=is_full(instance))
+        used = usable and self._offer(queue, instance, asked)
         if not used:
             self._targets.release(instance.address, asked)
         if queue.waiters:
--- a/dunlinnotch/coordination/choosing/fresh.py
+++ b/dunlinnotch/coordination/choosing/fresh.py
@@ -57,8 +57,8 @@
     if report is None or now - instance.reported_at > USEFUL_S:
         return _UNKNOWN + instance.own
     slots = max(1, report.slots)
-    ahead = report.running + report.waiting + instance.sent_since_report
-    factor = _KNEE_FACTOR if (ahead + 1) / slots > _KNEE and slots > 1 else 1.0
+    ahead = instance.ahead
+    factor = _KNEE_FACTOR if is_full(instance) else 1.0
     rounds = 1.0 + max(0, ahead + 1 - slots) / slots
     cold = _COLD_FACTOR if now < instance.cold_until else 1.0
     ill = 1.0 if instance.well else _ILL_FACTOR
@@ -66,14 +66,19 @@
     return max(0.2, report.slowness) * factor * rounds * cold * ill + away
 
 
+def is_full(instance: Instance) -> bool:
+    """Return whether one more request would be slowed down by those there already."""
+    slots = 1 if instance.report is None else max(1, instance.report.slots)
+    return (instance.ahead + 1) / slots > _KNEE and slots > 1
+
+
 def excess(instance: Instance) -> float:
     """Return the requests at a target beyond its slots, as a share of the slots."""
     report = instance.report
     if report is None:
         return 0.0
     slots = max(1, report.slots)
-    ahead = report.running + report.waiting + instance.sent_since_report
-    return (ahead + 1 - slots) / slots
+    return (instance.ahead + 1 - slots) / slots
 
 
 class FreshChooser:
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -432,8 +432,8 @@
             rank=kind.rank,
             tried=run.tried,
             give_up=since + kind.target_latency * _WAIT_SHARE,
-            most=self._most_expected(run, kind, kind.timeout),
-            most_waiting=self._most_expected(run, kind, kind.target_latency),
+            most=self._most_expected(run, kind, kind.target_latency),
+            most_late=self._most_expected(run, kind, kind.timeout),
         )
 
     def _most_expected(self, run: _Run, kind: RequestKind, within: Seconds) -> float:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -175,6 +175,7 @@
             probes=self.probes,
             probe_path=self._probe_path,
             targets=self._targets,
+            rng=rng,
             log=_log,
         )
         self.forwarder = Forwarder(
--- /dev/null
+++ b/tests/test_saturation.py
@@ -0,0 +1,46 @@
+"""How full a service is, by what probes find."""
+
+from __future__ import annotations
+
+from dunlinnotch.coordination.choosing.saturation import NO_ROOM_FROM, ROOM_UP_TO, Saturation
+
+
+class Clock:
+    now = 5.0
+
+    def __call__(self):
+        return self.now
+
+
+def noted(*found, clock=None):
+    saturation = Saturation(clock=clock or Clock())
+    for full in found:
+        saturation.note(full=full)
+    return saturation
+
+
+def test_where_nothing_was_heard_there_is_room():
+    assert (noted().share, noted().room) == (0.0, 1.0)
+
+
+def test_the_share_follows_what_probes_find():
+    share = noted(*[True, False] * 50).share
+    assert 0.4 < share < 0.6
+    assert noted(*[True] * 60).share > NO_ROOM_FROM
+
+
+def test_room_ends_gradually():
+    assert noted(*[True] * 5).room == 1.0  # a few full ones mean nothing
+    some = noted(*[True] * 11)
+    assert ROOM_UP_TO < some.share < NO_ROOM_FROM
+    assert 0.0 < some.room < 1.0
+    assert noted(*[True] * 60).room == 0.0
+
+
+def test_what_is_not_heard_any_more_is_forgotten():
+    clock = Clock()
+    saturation = noted(*[True] * 60, clock=clock)
+    clock.now += 1.5
+    assert (saturation.share, saturation.room) == (0.0, 1.0)
+    saturation.note(full=True)
+    assert saturation.share < 0.2  # it starts anew
