From nine other boxes on, tell the own place and one box of each other place

Change: the bound that large systems keep begins at 8 others (32 before); a new box is still told of up to 32.

--- a/dunlinnotch/coordination/membership/links.py
+++ b/dunlinnotch/coordination/membership/links.py
@@ -18,8 +18,11 @@
 
     from dunlinnotch.protocol.mesh import BoxWord
 
-#: Up to so many others, everybody is told everything.
-FULL_MESH = 32
+#: Up to so many others, everybody is told everything: bytes between places are dear, and
+#: of 17 boxes in three places two thirds of what a box tells would go elsewhere.
+FULL_MESH = 8
+#: Up to so many others, a new box is told of all.
+_INTRODUCED_ALL = 32
 #: Boxes of the own place that a box tells, at most.
 NEAR_MOST = 48
 #: Boxes of each other place that are told at a time.
@@ -89,7 +92,7 @@
         live : sequence of BoxWord
             The words that were heard lately.
         """
-        if len(live) <= FULL_MESH:
+        if len(live) <= _INTRODUCED_ALL:
             return list(live)
         chosen: list[BoxWord] = []
         for where, known in _by_place(live).items():
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -64,13 +64,29 @@
 
 
 def test_few_boxes_tell_everybody():
-    boxes = Boxes(18).settled()
+    boxes = Boxes(FULL_MESH + 1).settled()
     for mesh in boxes.meshes.values():
-        assert len(mesh.to_tell()) == 17
-        assert len(mesh.to_tell_news()) == 17
+        assert len(mesh.to_tell()) == FULL_MESH
+        assert len(mesh.to_tell_news()) == FULL_MESH
         assert mesh.to_tell_far() == []
 
 
+@pytest.mark.parametrize("lost", [0.0, 0.05])
+def test_a_small_system_tells_its_own_place_and_few_elsewhere(lost):
+    """wusta-listings: what 17 boxes told each other was half of all bytes between places."""
+    boxes = Boxes(18, lost=lost).settled()
+    for mesh in boxes.meshes.values():
+        near = near_names(boxes, mesh) - {mesh.name}
+        assert len(mesh.to_tell()) == len(near)
+        assert len(mesh.to_tell_far()) <= 2 * (len(PLACES) - 1)
+        assert near <= {word.name for word in mesh.live()}
+        assert mesh.most_boxes == 18
+    boxes.write(6)
+    boxes.beat()
+    boxes.beat()
+    assert {table.version for table in boxes.tables.values()} == {6}
+
+
 def test_callers_of_a_place_are_sent_to_all_of_it_only_by_a_box_that_knows_it():
     boxes = Boxes(142).settled()
     mesh = boxes.meshes["box-77"]
