One box of a place follows the store while nobody there can read it

Where no box of a place could read, every box took itself for the one that follows the store; followers tell all followers of other places, each with the words of all followers of its own place, so 99 boxes told each other everything. And each box asked the store anew every 0.8 s. Ruled out: tables fetched again and again (logs of the small twin: 4 fetches in the outage). Change: where nobody can read, one box of the place is still first. The others pause after a failed call by 0.4 s for each box heard in the place, so that calls do not grow with the boxes. Test with 99 boxes counts bytes of a turn; it failed before.

--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -246,12 +246,17 @@
     def is_first(self) -> bool:
         """Return whether this box is the one of its place that follows the store."""
         able = [self.name] if self.reading and self.state != DRAINING else []
-        able += [
-            word.name
-            for word in self.live()
-            if word.place == self.place and word.reading and word.state != DRAINING
-        ]
-        return not able or highest(self.place, able, 1) == [self.name]
+        staying = [self.name] if self.state != DRAINING else []
+        for word in self.live():
+            if word.place == self.place and word.state != DRAINING:
+                staying.append(word.name)
+                able += [word.name] if word.reading else []
+        # Where nobody can read one still tries: if all did, all would tell all others.
+        return highest(self.place, able or staying or [self.name], 1) == [self.name]
+
+    def live_here(self) -> int:
+        """Return how many boxes of this place are heard, this one included."""
+        return 1 + sum(word.place == self.place for word in self.live())
 
     def is_reader(self) -> bool:
         """Return whether this box reads the store: the first of its place, or if need be."""
--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -17,6 +17,7 @@
     from dunlinnotch.coordination.membership.mesh import Mesh
     from dunlinnotch.protocol.store import TableSource
     from dunlinnotch.state.followed import FollowedTable
+    from dunlinnotch.types import Seconds
 
 #: How long a follow-up call waits for a change, by the lead reader and by others, in
 #: seconds: shorter than knowledge takes to be stale, so that a place needs no other.
@@ -32,6 +33,9 @@
 _AFTER_NEWS_S = 0.4
 #: Pause after a call that failed, in seconds: first and longest.
 _PAUSE_S = (0.1, 0.8)
+#: Time between two tries of the boxes of a place that all lack the store, in seconds: each
+#: of them waits so long for each of the others, so that calls do not grow with the boxes.
+_PAUSE_SHARED_S = 0.4
 #: An answer is taken to hold from so long before it came, in seconds.
 _ANSWER_AGE_S = 0.3
 
@@ -86,9 +90,14 @@
                     await asyncio.sleep(_AFTER_NEWS_S)
             else:
                 self._failed()
-                first, longest = _PAUSE_S
-                pause = min(longest, first * 2 ** min(8, self._failures))
-                await asyncio.sleep(pause * (0.7 + 0.6 * self._rng.random()))
+                await asyncio.sleep(self._pause() * (0.7 + 0.6 * self._rng.random()))
+
+    def _pause(self) -> Seconds:
+        """Return the time to wait after a failed call."""
+        first, longest = _PAUSE_S
+        if not self._mesh.is_first():
+            longest = max(longest, _PAUSE_SHARED_S * self._mesh.live_here())
+        return min(longest, float(first * 2 ** min(8, self._failures)))
 
     def look_again(self) -> None:
         """Make the follow-up call anew if it does not tell soon what a peer has told."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -73,7 +73,7 @@
 
 @pytest.mark.parametrize("lost", [0.0, 0.05])
 def test_a_small_system_tells_its_own_place_and_few_elsewhere(lost):
-    """wusta-listings: what 17 boxes told each other was half of all bytes between places."""
+    """wusta-listings: what 17 boxes told each other was two fifths of the bytes between places."""
     boxes = Boxes(18, lost=lost).settled()
     for mesh in boxes.meshes.values():
         near = near_names(boxes, mesh) - {mesh.name}
@@ -112,3 +112,23 @@
     chosen = Links("box-0", "ikeja", rng=random.Random(1)).introduced("ikeja", words)
     assert {w.place for w in chosen if w.follows} == set(PLACES)
     assert len(chosen) <= NEAR_MOST + 2 * (len(PLACES) - 1)
+
+
+def test_what_boxes_tell_while_nobody_can_read_the_store_is_no_more_than_before():
+    """wusta-listings-grown trouble-3: every box took itself for the one that follows the
+    store, so each told all others the words of its whole place, 0.5 of a day's worth."""
+    boxes = Boxes(99).settled()
+    before = bytes_of_a_turn(boxes)
+    for mesh in boxes.meshes.values():
+        mesh.reading = False
+    for _ in range(8):
+        boxes.beat()
+    firsts = [mesh.place for mesh in boxes.meshes.values() if mesh.is_first()]
+    assert sorted(firsts) == sorted(PLACES)
+    assert bytes_of_a_turn(boxes) < 1.2 * before
+
+
+def bytes_of_a_turn(boxes):
+    boxes.sent_bytes = 0
+    boxes.beat()
+    return boxes.sent_bytes
