Learn for each service what nearly full targets cost, in place of fixed figures

Change: answers whose target was known to 30 ms and worked at usual speed tell how long work takes by the tenth of the slots in use, against the usual time of their kind, which is learnt at targets that are half free. Until answers tell, the old figures hold. A target without a free slot is never good. Tests: slots of 2, 3, 6 and 16, targets that slow down late, early and never. Mutants for the queue, saturation, fullness and who follows.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -17,8 +17,9 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess, is_full
+from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess
 from dunlinnotch.coordination.choosing.saturation import Saturation
+from dunlinnotch.coordination.choosing.work_times import Start
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import TargetReport
 
@@ -63,21 +64,14 @@
         ``best`` of what is known where none was good in time, ``unasked`` if nothing is.
     expected : float
         Expected time, as a multiple of the usual one.
-    ahead : int
-        Requests there before this one.
-    slowness : float
-        How long work takes there; 1 is usual.
-    report_age : float
-        Seconds since the report came.
+    start : Start
     """
 
     instance: Instance
     asked: Asked | None
     why: str
     expected: float
-    ahead: int
-    slowness: float
-    report_age: Seconds
+    start: Start
 
 
 @dataclass(slots=True, eq=False)
@@ -275,15 +269,13 @@
     def _pick(self, instance: Instance, asked: Asked | None, why: str) -> Pick:
         now = self._loop.time()
         report = instance.report
-        pick = Pick(
-            instance,
-            asked,
-            why,
-            expected=self._chooser.expected(instance, now),
+        start = Start(
             ahead=instance.ahead,
+            slots=max(1, instance.listed.slots if report is None else report.slots),
             slowness=1.0 if report is None else report.slowness,
             report_age=now - instance.reported_at,
         )
+        pick = Pick(instance, asked, why, self._chooser.expected(instance, now), start)
         instance.sent_since_report += 1
         if why in ("good", "fresh"):
             self._queue(instance.listed.service).good_at = now
@@ -367,7 +359,7 @@
             queue.overdue.discard(instance)
         usable = self._take_answer(instance, asked)
         if usable:
-            queue.saturation.note(full=is_full(instance))
+            queue.saturation.note(full=self._chooser.is_full(instance))
         used = usable and self._offer(queue, instance, asked)
         if not used:
             self._targets.release(instance.address, asked)
--- a/dunlinnotch/coordination/choosing/fresh.py
+++ b/dunlinnotch/coordination/choosing/fresh.py
@@ -14,6 +14,7 @@
     import random
     from collections.abc import Collection, Iterable
 
+    from dunlinnotch.coordination.choosing.work_times import WorkTimes
     from dunlinnotch.state.instances import Instance
     from dunlinnotch.types import Seconds
 
@@ -27,8 +28,6 @@
 _ASIDE_AFTER = 2
 #: Shortest and longest time that a target is set aside, in seconds.
 _ASIDE_S = (0.5, 4.0)
-#: Share of its slots in use above which a target's work takes longer, and how much.
-_KNEE, _KNEE_FACTOR = 0.8, 1.7
 _COLD_FACTOR = 1.6
 #: A health check that says no may lie; the target is used if no other is better.
 _ILL_FACTOR = 3.0
@@ -38,7 +37,9 @@
 _UNKNOWN = 6.0
 
 
-def expected_time(instance: Instance, now: Seconds, *, place: str = "") -> float:
+def expected_time(
+    instance: Instance, now: Seconds, *, place: str = "", slowed: float = 1.0
+) -> float:
     """Return how long work would take at a target, as a multiple of the usual time.
 
     Parameters
@@ -47,6 +48,8 @@
     now : float
     place : str, optional
         The asking box's; targets elsewhere are charged for the way.
+    slowed : float, default 1.0
+        How many times longer work takes at a target so full.
 
     Returns
     -------
@@ -56,29 +59,24 @@
     report = instance.report
     if report is None or now - instance.reported_at > USEFUL_S:
         return _UNKNOWN + instance.own
-    slots = max(1, report.slots)
-    ahead = instance.ahead
-    factor = _KNEE_FACTOR if is_full(instance) else 1.0
-    rounds = 1.0 + max(0, ahead + 1 - slots) / slots
+    rounds = 1.0 + max(0.0, excess(instance))
     cold = _COLD_FACTOR if now < instance.cold_until else 1.0
     ill = 1.0 if instance.well else _ILL_FACTOR
     away = _AWAY if place and instance.listed.place != place else 0.0
-    return max(0.2, report.slowness) * factor * rounds * cold * ill + away
-
-
-def is_full(instance: Instance) -> bool:
-    """Return whether one more request would be slowed down by those there already."""
-    slots = 1 if instance.report is None else max(1, instance.report.slots)
-    return (instance.ahead + 1) / slots > _KNEE and slots > 1
+    return max(0.2, report.slowness) * slowed * rounds * cold * ill + away
 
 
 def excess(instance: Instance) -> float:
     """Return the requests at a target beyond its slots, as a share of the slots."""
-    report = instance.report
-    if report is None:
+    if instance.report is None:
         return 0.0
-    slots = max(1, report.slots)
-    return (instance.ahead + 1 - slots) / slots
+    return fill(instance) - 1.0
+
+
+def fill(instance: Instance) -> float:
+    """Return the share of a target's slots in use with one more request."""
+    slots = 1 if instance.report is None else max(1, instance.report.slots)
+    return (instance.ahead + 1) / slots
 
 
 class FreshChooser:
@@ -88,11 +86,14 @@
     ----------
     place : str
         The box's own.
+    times : WorkTimes
+        What was learnt of how long work takes.
     rng : random.Random
     """
 
-    def __init__(self, *, place: str, rng: random.Random) -> None:
+    def __init__(self, *, place: str, times: WorkTimes, rng: random.Random) -> None:
         self._place = place
+        self._times = times
         self._rng = rng
 
     def order(
@@ -107,25 +108,37 @@
         aside; by chance among equals, so that boxes do not run to the same one.
         """
         usable = [i for i in instances if i.name not in exclude and not i.replaced]
-        return sorted(usable, key=lambda i: (self._rung(i, now), self._rng.random()))
+        return sorted(usable, key=lambda i: (self._tier(i, now), self._rng.random()))
 
-    def _rung(self, instance: Instance, now: Seconds) -> int:
+    def _tier(self, instance: Instance, now: Seconds) -> int:
         away = instance.listed.place != self._place
         if now < instance.aside_until:
             return 5
         if instance.lapsed_at is not None:
             return 4
-        if now - instance.reported_at < USEFUL_S and expected_time(instance, now) > GOOD:
+        heard = now - instance.reported_at < USEFUL_S
+        if heard and expected_time(instance, now, slowed=self._slowed(instance)) > GOOD:
             return 2 + away
         return int(away)
 
     def expected(self, instance: Instance, now: Seconds) -> float:
         """Return the expected time, the way to another place included."""
-        return expected_time(instance, now, place=self._place)
+        return expected_time(instance, now, place=self._place, slowed=self._slowed(instance))
 
     def good(self, instance: Instance, now: Seconds) -> bool:
         """Return whether to send to a target without asking further ones."""
-        return expected_time(instance, now) <= GOOD and now >= instance.aside_until
+        if excess(instance) > 0 or now < instance.aside_until:
+            return False
+        return expected_time(instance, now, slowed=self._slowed(instance)) <= GOOD
+
+    def is_full(self, instance: Instance) -> bool:
+        """Return whether one more request would wait or be slowed down there."""
+        return excess(instance) > 0 or self._slowed(instance) > GOOD
+
+    def _slowed(self, instance: Instance) -> float:
+        if instance.ahead == 0:
+            return 1.0
+        return self._times.slowed_by(instance.listed.service, fill(instance))
 
     @staticmethod
     def failed(instance: Instance, now: Seconds) -> None:
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -28,6 +28,7 @@
     from dunlinnotch.coordination.budgets.shares import RepeatShare
     from dunlinnotch.coordination.choosing.asking import Pick, TargetSeeker
     from dunlinnotch.coordination.choosing.fresh import FreshChooser
+    from dunlinnotch.coordination.choosing.work_times import WorkTimes
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
@@ -44,11 +45,6 @@
 #: When to come back to a box that knows no settings yet, in seconds.
 _COME_BACK_UNKNOWING_S = 0.3
 
-#: Answers of targets up to this expected time tell the usual time of a kind.
-_USUAL_EXPECTED = 1.5
-#: Weight of a new answer in the usual time.
-_USUAL_GAIN = 0.05
-
 _log = logging.getLogger(__name__)
 
 
@@ -85,9 +81,9 @@
             "target": self.pick.instance.name,
             "why": self.pick.why,
             "expected": round(self.pick.expected, 2),
-            "ahead": self.pick.ahead,
-            "slowness": self.pick.slowness,
-            "report_age_ms": round(self.pick.report_age * 1000),
+            "ahead": self.pick.start.ahead,
+            "slowness": self.pick.start.slowness,
+            "report_age_ms": round(self.pick.start.report_age * 1000),
             "began_ms": round((self.began - arrived) * 1000, 1),
             "took_ms": round(self.took * 1000, 1),
             "end": self.end,
@@ -132,6 +128,7 @@
         Returns the seconds since the settings were last known to be the newest.
     instances : InstanceList
     chooser : FreshChooser
+    times : WorkTimes
     seeker : TargetSeeker
     make_repeats : callable
         Makes the repeat budget of a service.
@@ -147,6 +144,7 @@
         age: Callable[[], Seconds],
         instances: InstanceList,
         chooser: FreshChooser,
+        times: WorkTimes,
         seeker: TargetSeeker,
         make_repeats: Callable[[], RepeatShare],
         targets: TargetPort,
@@ -157,6 +155,7 @@
         self._age = age
         self._instances = instances
         self._chooser = chooser
+        self._times = times
         self._seeker = seeker
         self._make_repeats = make_repeats
         self._targets = targets
@@ -165,7 +164,6 @@
         self._loop = asyncio.get_running_loop()
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
-        self._usual: dict[str, Seconds] = {}
         self._running: set[_Run] = set()
 
     @property
@@ -415,7 +413,8 @@
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
-            self._note_usual(run, kind)
+            trial = run.tries[-1]
+            self._times.note(kind.name, run.service, trial.pick.start, trial.took)
             answer.close()
 
     def _worth_repeating(self, run: _Run, kind: RequestKind) -> bool:
@@ -438,20 +437,12 @@
 
     def _most_expected(self, run: _Run, kind: RequestKind, within: Seconds) -> float:
         """Return how many usual times of its kind a request has left to end within a time."""
-        usual = self._usual.get(kind.name)
+        usual = self._times.usual(kind.name)
         if usual is None:
             return math.inf
         until = min(run.request.deadline, run.request.arrived + within)
         return max(0.0, until - self._loop.time()) / usual
 
-    def _note_usual(self, run: _Run, kind: RequestKind) -> None:
-        """Learn how long a kind takes at a target of usual speed with free slots."""
-        trial = run.tries[-1]
-        if trial.pick.expected <= _USUAL_EXPECTED:
-            took = trial.took / max(1.0, trial.pick.expected)
-            usual = self._usual.get(kind.name, took)
-            self._usual[kind.name] = usual + _USUAL_GAIN * (took - usual)
-
     # -- logs
 
     def _log_end(self, run: _Run, ending: Ending) -> None:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -14,6 +14,7 @@
 from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
+from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, Mesh
 from dunlinnotch.coordination.requests.forward import Forwarder
 from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
@@ -168,7 +169,8 @@
         self.figures = Figures(self._gauges)
         self._targets = TargetClient(adapter.targets)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
-        chooser = FreshChooser(place=settings.place, rng=rng)
+        times = WorkTimes()
+        chooser = FreshChooser(place=settings.place, times=times, rng=rng)
         self.seeker = TargetSeeker(
             instances=self.instances,
             chooser=chooser,
@@ -183,6 +185,7 @@
             age=lambda: self.mesh.age(self._settings_rows),
             instances=self.instances,
             chooser=chooser,
+            times=times,
             seeker=self.seeker,
             make_repeats=self._make_repeats,
             targets=self._targets,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,6 +18,8 @@
 from dunlinnotch.coordination.budgets import probes, seats
 from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
+from dunlinnotch.coordination.choosing.saturation import Saturation
+from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.coordination.membership.links import Links
 from dunlinnotch.coordination.membership.mesh import STALE_S, Mesh
 from dunlinnotch.coordination.membership.rows import Membership
@@ -222,12 +224,24 @@
     return True
 
 
+def _learn_nothing(self, service, fill):
+    return 1.0
+
+
+def _offer_nothing(self, queue, instance, asked):
+    return False
+
+
+def _all_are_first(self):
+    return not self.reading
+
+
 def _keep_lapsed(self, keys):
     return True
 
 
 ENTRY, SHARES = "tests/test_entry.py", "tests/test_shares.py"
-LINKS = "tests/test_links.py"
+LINKS, ASKING = "tests/test_links.py", "tests/test_asking.py"
 
 MUTANTS = (
     Mutant("repeat what may run once", Forwarder, "_may_repeat", _repeat_anything, ENTRY),
@@ -270,6 +284,16 @@
         "tests/test_following.py",
     ),
     Mutant("send what can't end in time", TargetSeeker, "_bearable", _bear_anything, ENTRY),
+    Mutant("send to targets found full", Saturation, "room", 1.0, ASKING),
+    Mutant("hand no target to those that wait", TargetSeeker, "_offer", _offer_nothing, ASKING),
+    Mutant(
+        "learn nothing of fullness",
+        WorkTimes,
+        "slowed_by",
+        _learn_nothing,
+        "tests/test_work_times.py",
+    ),
+    Mutant("all follow what nobody can read", Mesh, "is_first", _all_are_first, LINKS),
     Mutant("retry a loan after it was sent", Router, "_may_retry", _retry_anything),
     Mutant("say not run of a broken attempt", Router, "_not_answered", _say_not_run),
     Mutant(
--- a/tests/test_fresh.py
+++ b/tests/test_fresh.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dunlinnotch.coordination.choosing.fresh import GOOD, FreshChooser, excess, expected_time
+from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.state.instances import Instance, ListedTarget, TargetReport
 
 NOW = 50.0
@@ -24,14 +25,18 @@
     [
         ((0, 0, 6, 1.0), 0.0, True),
         ((3, 0, 6, 1.0), 0.1, True),
+        ((4, 0, 6, 1.0), 0.0, False),  # nearly full, and nothing learnt yet
         ((6, 0, 6, 1.0), 0.0, False),
+        ((0, 0, 1, 1.0), 0.0, True),
+        ((1, 0, 1, 1.0), 0.0, False),
         ((0, 0, 6, 7.0), 0.0, False),
         ((0, 0, 6, 1.0), 0.5, False),
         (None, 0.0, False),
     ],
 )
 def test_only_a_free_target_of_usual_speed_by_a_fresh_report_is_good(report, age, good):
-    assert (expected_time(target(report=report, age=age), NOW) <= GOOD) is good
+    chooser = FreshChooser(place="hall-a", times=WorkTimes(), rng=random.Random(1))
+    assert chooser.good(target(report=report, age=age), NOW) is good
 
 
 def test_own_requests_sent_since_the_report_count():
@@ -50,7 +55,7 @@
 
 
 def test_order_is_own_place_then_others_then_slow_then_aside():
-    chooser = FreshChooser(place="hall-a", rng=random.Random(1))
+    chooser = FreshChooser(place="hall-a", times=WorkTimes(), rng=random.Random(1))
     near, far = target("near"), target("far", place="hall-b")
     slow = target("slow", report=(0, 0, 6, 7.0))
     aside = target("aside")
@@ -62,7 +67,7 @@
 
 
 def test_failures_set_aside_for_a_while_and_an_answer_ends_it():
-    chooser = FreshChooser(place="hall-a", rng=random.Random(1))
+    chooser = FreshChooser(place="hall-a", times=WorkTimes(), rng=random.Random(1))
     instance = target(report=(0, 0, 6, 1.0))
     chooser.failed(instance, NOW)
     assert chooser.good(instance, NOW)
