--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -10,15 +10,14 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import itertools
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.choosing.fresh import FRESH_S, USEFUL_S, excess
 from dunlinnotch.coordination.choosing.saturation import Saturation
+from dunlinnotch.coordination.choosing.waiting import Pick, ServiceQueue, Waiter
 from dunlinnotch.coordination.choosing.work_times import Start
 from dunlinnotch.protocol.relay import Asked
 from dunlinnotch.state.instances import TargetReport
@@ -34,10 +33,6 @@
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.types import Seconds
 
-#: Probes under way at once for each request that waits.
-_ASKED_PER_REQUEST = 2
-#: Probes under way at once for one service, at most.
-_ASKED_MOST = 8
 #: Pause before targets that were just heard are asked again, in seconds.
 _PAUSE_S = 0.015
 #: Where no target of a service was good for so long, slow ones are what there is, in
@@ -50,75 +45,6 @@
 _ASK_LOST_S = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class Pick:
-    """A target chosen, and what was known of it then.
-
-    Parameters
-    ----------
-    instance : Instance
-    asked : Asked or None
-        The probe that spoke for it, with its connection.
-    why : str
-        ``good`` by a probe just answered, ``fresh`` by a report that came otherwise,
-        ``best`` of what is known where none was good in time, ``unasked`` if nothing is.
-    expected : float
-        Expected time, as a multiple of the usual one.
-    start : Start
-    """
-
-    instance: Instance
-    asked: Asked | None
-    why: str
-    expected: float
-    start: Start
-
-
-@dataclass(slots=True, eq=False)
-class _Waiter:
-    """One request that waits for a target."""
-
-    rank: int
-    number: int
-    tried: Collection[str]
-    picked: asyncio.Future[Pick]
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """The most urgent first, then by arrival."""
-        return (self.rank, self.number)
-
-
-@dataclass(slots=True, eq=False)
-class _Queue:
-    """The requests that wait for a target of one service."""
-
-    service: str
-    saturation: Saturation
-    waiters: list[_Waiter] = field(default_factory=list)
-    #: Targets asked, whose answers are being waited for.
-    asking: set[Instance] = field(default_factory=set)
-    #: Those of them that have had time enough.
-    overdue: set[Instance] = field(default_factory=set)
-    #: When a target was last chosen that was good.
-    good_at: Seconds = -math.inf
-    again: asyncio.TimerHandle | None = None
-
-    def first_for(self, instance: Instance) -> _Waiter | None:
-        """Take out the first request that may go to a target."""
-        for waiter in self.waiters:
-            if instance.name not in waiter.tried:
-                self.waiters.remove(waiter)
-                return waiter
-        return None
-
-    @property
-    def wanted(self) -> int:
-        """Probes that may be sent now."""
-        most = min(_ASKED_MOST, _ASKED_PER_REQUEST * len(self.waiters))
-        return most - len(self.asking) + len(self.overdue)
-
-
 class TargetSeeker:
     """Find targets for requests.
 
@@ -154,7 +80,7 @@
         self._log = log
         self._loop = asyncio.get_running_loop()
         self._running: set[asyncio.Task[None]] = set()
-        self._queues: dict[str, _Queue] = {}
+        self._queues: dict[str, ServiceQueue] = {}
         self._arrivals = 0
 
     async def choose(
@@ -211,11 +137,11 @@
         if queue is not None:
             self._offer(queue, instance, None)
 
-    def _queue(self, service: str) -> _Queue:
+    def _queue(self, service: str) -> ServiceQueue:
         queue = self._queues.get(service)
         if queue is None:
             saturation = Saturation(clock=self._loop.time)
-            queue = self._queues[service] = _Queue(service, saturation)
+            queue = self._queues[service] = ServiceQueue(service, saturation)
         return queue
 
     # -- waiting for a good target
@@ -229,12 +155,12 @@
         return None
 
     async def _wait(
-        self, queue: _Queue, rank: int, tried: Collection[str], give_up: Seconds
+        self, queue: ServiceQueue, rank: int, tried: Collection[str], give_up: Seconds
     ) -> Pick | None:
         """Wait in a queue until a target is heard to be good."""
         self._arrivals += 1
-        waiter = _Waiter(rank, self._arrivals, tried, self._loop.create_future())
-        bisect.insort(queue.waiters, waiter, key=lambda w: w.order)
+        waiter = Waiter(rank, self._arrivals, tried, self._loop.create_future())
+        queue.join(waiter)
         self._ask_for(queue)
         try:
             # Who comes late has at least the time of one probe.
@@ -250,7 +176,7 @@
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
 
-    def _offer(self, queue: _Queue, instance: Instance, asked: Asked | None) -> bool:
+    def _offer(self, queue: ServiceQueue, instance: Instance, asked: Asked | None) -> bool:
         """Hand a target to those that wait, as long as it is good; return if a probe was used."""
         used = False
         while (
@@ -283,7 +209,7 @@
 
     # -- where none was good in time
 
-    def _last_chance(self, queue: _Queue, tried: Collection[str], most: float) -> Pick | None:
+    def _last_chance(self, queue: ServiceQueue, tried: Collection[str], most: float) -> Pick | None:
         """Return the best of what is known, if the request may go there."""
         now = self._loop.time()
         order = self._chooser.order(self._instances.of(queue.service), now, exclude=tried)
@@ -296,7 +222,7 @@
         known = now - best.reported_at <= USEFUL_S
         return self._pick(best, None, "best" if known else "unasked")
 
-    def _bearable(self, queue: _Queue, instance: Instance, most: float, now: Seconds) -> bool:
+    def _bearable(self, queue: ServiceQueue, instance: Instance, most: float, now: Seconds) -> bool:
         """Return whether a request may be sent to a target that was not good in time.
 
         Notes
@@ -310,7 +236,7 @@
 
     # -- asking
 
-    def _ask_for(self, queue: _Queue) -> None:
+    def _ask_for(self, queue: ServiceQueue) -> None:
         """Ask targets for those that wait, a few at a time."""
         path = self._probe_path(queue.service)
         if not path:
@@ -326,7 +252,7 @@
         if len(asked) < wanted:
             self._ask_again_later(queue)
 
-    def _to_ask(self, queue: _Queue) -> Iterator[Instance]:
+    def _to_ask(self, queue: ServiceQueue) -> Iterator[Instance]:
         """Yield the targets to ask: none just asked, none whose probes are used up."""
         now = self._loop.time()
         for instance in self._chooser.order(self._instances.of(queue.service), now, exclude=()):
@@ -335,16 +261,16 @@
             if self._probes.has_left(instance.name):
                 yield instance
 
-    def _ask_again_later(self, queue: _Queue) -> None:
+    def _ask_again_later(self, queue: ServiceQueue) -> None:
         if queue.again is None:
             queue.again = self._loop.call_later(_PAUSE_S, self._ask_again, queue)
 
-    def _ask_again(self, queue: _Queue) -> None:
+    def _ask_again(self, queue: ServiceQueue) -> None:
         queue.again = None
         if queue.waiters:
             self._ask_for(queue)
 
-    async def _ask(self, queue: _Queue, instance: Instance, path: str) -> None:
+    async def _ask(self, queue: ServiceQueue, instance: Instance, path: str) -> None:
         """Ask one target; what it says is offered to those that wait."""
         instance.asked_at = self._loop.time()
         patience = self._loop.call_later(_ASK_PATIENCE_S, self._overdue, queue, instance)
@@ -366,7 +292,7 @@
         if queue.waiters:
             self._ask_for(queue)
 
-    def _overdue(self, queue: _Queue, instance: Instance) -> None:
+    def _overdue(self, queue: ServiceQueue, instance: Instance) -> None:
         queue.overdue.add(instance)
         if queue.waiters:
             self._ask_for(queue)
--- /dev/null
+++ b/dunlinnotch/coordination/choosing/waiting.py
@@ -0,0 +1,97 @@
+"""The requests that wait for a target of one service, and what is being asked for them."""
+
+from __future__ import annotations
+
+import bisect
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Collection
+
+    from dunlinnotch.coordination.choosing.saturation import Saturation
+    from dunlinnotch.coordination.choosing.work_times import Start
+    from dunlinnotch.protocol.relay import Asked
+    from dunlinnotch.state.instances import Instance
+    from dunlinnotch.types import Seconds
+
+#: Probes under way at once for each request that waits: the first good answer ends the
+#: search, and what the others spend is missing when many wait.
+_ASKED_PER_REQUEST = 2
+#: Probes under way at once for one service, at most.
+_ASKED_MOST = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """A target chosen, and what was known of it then.
+
+    Parameters
+    ----------
+    instance : Instance
+    asked : Asked or None
+        The probe that spoke for it, with its connection.
+    why : str
+        ``good`` by a probe just answered, ``fresh`` by a report that came otherwise,
+        ``best`` of what is known where none was good in time, ``unasked`` if nothing is.
+    expected : float
+        Expected time, as a multiple of the usual one.
+    start : Start
+    """
+
+    instance: Instance
+    asked: Asked | None
+    why: str
+    expected: float
+    start: Start
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """One request that waits for a target."""
+
+    rank: int
+    number: int
+    tried: Collection[str]
+    picked: asyncio.Future[Pick]
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """The most urgent first, then by arrival."""
+        return (self.rank, self.number)
+
+
+@dataclass(slots=True, eq=False)
+class ServiceQueue:
+    """The requests that wait for a target of one service."""
+
+    service: str
+    saturation: Saturation
+    waiters: list[Waiter] = field(default_factory=list)
+    #: Targets asked, whose answers are being waited for.
+    asking: set[Instance] = field(default_factory=set)
+    #: Those of them that have had time enough.
+    overdue: set[Instance] = field(default_factory=set)
+    #: When a target was last chosen that was good.
+    good_at: Seconds = -math.inf
+    again: asyncio.TimerHandle | None = None
+
+    def join(self, waiter: Waiter) -> None:
+        """Take a request in, behind those as urgent as it is."""
+        bisect.insort(self.waiters, waiter, key=lambda w: w.order)
+
+    def first_for(self, instance: Instance) -> Waiter | None:
+        """Take out the first request that may go to a target."""
+        for waiter in self.waiters:
+            if instance.name not in waiter.tried:
+                self.waiters.remove(waiter)
+                return waiter
+        return None
+
+    @property
+    def wanted(self) -> int:
+        """Probes that may be sent now."""
+        most = min(_ASKED_MOST, _ASKED_PER_REQUEST * len(self.waiters))
+        return most - len(self.asking) + len(self.overdue)
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -26,8 +26,9 @@
     from collections.abc import AsyncIterator, Callable
 
     from dunlinnotch.coordination.budgets.shares import RepeatShare
-    from dunlinnotch.coordination.choosing.asking import Pick, TargetSeeker
+    from dunlinnotch.coordination.choosing.asking import TargetSeeker
     from dunlinnotch.coordination.choosing.fresh import FreshChooser
+    from dunlinnotch.coordination.choosing.waiting import Pick
     from dunlinnotch.coordination.choosing.work_times import WorkTimes
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import random
+from dataclasses import replace
+
+import pytest
 
 from dunlinnotch.coordination.membership.mesh import RUNNING, Mesh
 from dunlinnotch.coordination.settings import following
@@ -153,3 +156,20 @@
         assert not follower.failing
 
     follow(test)
+
+
+def test_boxes_that_all_lack_the_store_try_in_turn_not_each_as_often():
+    """wusta-listings-grown trouble-3: calls to a store that is down grew with the boxes."""
+
+    async def test(source, table, follower, news):
+        mesh = follower._mesh
+        for number in range(19):
+            mesh.take(replace(mesh.own_word(), name=f"b-{number}", reading=False))
+        mesh.reading = False
+        follower._failures = 9
+        mesh.is_first = lambda: False
+        assert follower._pause() == pytest.approx(0.4 * 20)
+        mesh.is_first = lambda: True
+        assert follower._pause() == pytest.approx(0.8)
+
+    follow(test)
