Count slow targets as taken, and try nearly full ones now and then

A third of the starts were at nearly full targets by reports of 100 ms: the share of full targets stayed below what ends them, as slow targets with free slots counted as room. Change: the share counts targets that are not good; where none has been good for 0.5 s only fullness counts, as slow ones are what there is. Three in a hundred requests try a fullness of which nothing is known, one in a hundred later.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -118,8 +118,7 @@
         pick = pick or await self._wait(queue, rank, tried, give_up)
         if pick is not None:
             return pick
-        slow_for = self._loop.time() - queue.good_at
-        return self._last_chance(queue, tried, most if slow_for < _SLOW_FOR_S else most_late)
+        return self._last_chance(queue, tried, (most, most_late))
 
     def release(self, pick: Pick) -> None:
         """Give back a target that is not used."""
@@ -140,8 +139,9 @@
     def _queue(self, service: str) -> ServiceQueue:
         queue = self._queues.get(service)
         if queue is None:
-            saturation = Saturation(clock=self._loop.time)
-            queue = self._queues[service] = ServiceQueue(service, saturation)
+            clock = self._loop.time
+            queue = ServiceQueue(service, Saturation(clock=clock), Saturation(clock=clock))
+            self._queues[service] = queue
         return queue
 
     # -- waiting for a good target
@@ -179,11 +179,7 @@
     def _offer(self, queue: ServiceQueue, instance: Instance, asked: Asked | None) -> bool:
         """Hand a target to those that wait, as long as it is good; return if a probe was used."""
         used = False
-        while (
-            queue.waiters
-            and not instance.replaced
-            and self._chooser.good(instance, self._loop.time())
-        ):
+        while queue.waiters and not instance.replaced and self._takes(instance):
             waiter = queue.first_for(instance)
             if waiter is None:
                 break
@@ -192,6 +188,10 @@
             used = used or asked is not None
         return used
 
+    def _takes(self, instance: Instance) -> bool:
+        now = self._loop.time()
+        return self._chooser.good(instance, now) or self._chooser.tries(instance, now)
+
     def _pick(self, instance: Instance, asked: Asked | None, why: str) -> Pick:
         now = self._loop.time()
         report = instance.report
@@ -209,7 +209,9 @@
 
     # -- where none was good in time
 
-    def _last_chance(self, queue: ServiceQueue, tried: Collection[str], most: float) -> Pick | None:
+    def _last_chance(
+        self, queue: ServiceQueue, tried: Collection[str], most: tuple[float, float]
+    ) -> Pick | None:
         """Return the best of what is known, if the request may go there."""
         now = self._loop.time()
         order = self._chooser.order(self._instances.of(queue.service), now, exclude=tried)
@@ -222,17 +224,22 @@
         known = now - best.reported_at <= USEFUL_S
         return self._pick(best, None, "best" if known else "unasked")
 
-    def _bearable(self, queue: ServiceQueue, instance: Instance, most: float, now: Seconds) -> bool:
+    def _bearable(
+        self, queue: ServiceQueue, instance: Instance, most: tuple[float, float], now: Seconds
+    ) -> bool:
         """Return whether a request may be sent to a target that was not good in time.
 
         Notes
         -----
         Nothing waits at a target: what starts there starts at a speed that nobody
-        knows beforehand, and those behind it are late too.
+        knows beforehand, and those behind it are late too.  Where none has been good
+        for a while, slow ones are what there is, and an answer may be late.
         """
-        if excess(instance) > 0 or self._chooser.expected(instance, now) > most:
+        slow = now - queue.good_at >= _SLOW_FOR_S
+        if excess(instance) > 0 or self._chooser.expected(instance, now) > most[slow]:
             return False
-        return self._chooser.good(instance, now) or self._rng.random() < queue.saturation.room
+        room = queue.free.room if slow else queue.good.room
+        return self._chooser.good(instance, now) or self._rng.random() < room
 
     # -- asking
 
@@ -285,7 +292,8 @@
             queue.overdue.discard(instance)
         usable = self._take_answer(instance, asked)
         if usable:
-            queue.saturation.note(full=self._chooser.is_full(instance))
+            queue.good.note(usable=self._chooser.good(instance, self._loop.time()))
+            queue.free.note(usable=not self._chooser.is_full(instance))
         used = usable and self._offer(queue, instance, asked)
         if not used:
             self._targets.release(instance.address, asked)
--- a/dunlinnotch/coordination/choosing/fresh.py
+++ b/dunlinnotch/coordination/choosing/fresh.py
@@ -135,6 +135,15 @@
         """Return whether one more request would wait or be slowed down there."""
         return excess(instance) > 0 or self._slowed(instance) > GOOD
 
+    def tries(self, instance: Instance, now: Seconds) -> bool:
+        """Return whether to send to a target nearly full, to learn what that costs."""
+        if excess(instance) > 0 or now < instance.aside_until:
+            return False
+        if expected_time(instance, now) > GOOD:
+            return False
+        part = self._times.part_to_try(instance.listed.service, fill(instance))
+        return self._rng.random() < part
+
     def _slowed(self, instance: Instance) -> float:
         if instance.ahead == 0:
             return 1.0
--- a/dunlinnotch/coordination/choosing/waiting.py
+++ b/dunlinnotch/coordination/choosing/waiting.py
@@ -68,7 +68,9 @@
     """The requests that wait for a target of one service."""
 
     service: str
-    saturation: Saturation
+    #: Whether there are good targets, and whether there are free ones, good or slow.
+    good: Saturation
+    free: Saturation
     waiters: list[Waiter] = field(default_factory=list)
     #: Targets asked, whose answers are being waited for.
     asking: set[Instance] = field(default_factory=set)
--- a/dunlinnotch/coordination/choosing/work_times.py
+++ b/dunlinnotch/coordination/choosing/work_times.py
@@ -23,6 +23,9 @@
 _PRIOR_WEIGHT = 4
 #: Least weight of a new answer: what is learnt follows changes within some 20 answers.
 _GAIN = 0.05
+#: Part of the requests that try a fullness of which nothing is known, and one that is well
+#: known: what no request tries is never learnt, and each try may take longer.
+_TRY_UNKNOWN, _TRY_KNOWN = 0.03, 0.01
 #: A single answer tells no more than so many times the usual time.
 _RATIO_MOST = 5.0
 #: Share of the slots in use up to which a target's answers tell a kind's usual time.
@@ -54,6 +57,7 @@
 
     took: Seconds
     usual: Seconds
+    answers: int = 0
 
     @classmethod
     def prior(cls, factor: float, usual: Seconds) -> _Slowed:
@@ -67,6 +71,7 @@
         keep = 1.0 - _GAIN
         self.took = self.took * keep + took
         self.usual = self.usual * keep + usual
+        self.answers += 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +132,12 @@
         found = self._slowed.get((service, _step(fill)))
         return _prior(fill) if found is None else found.factor
 
+    def part_to_try(self, service: str, fill: float) -> float:
+        """Return which part of the requests is to try a fullness taken to be slow."""
+        found = self._slowed.get((service, _step(fill)))
+        known = 0 if found is None else found.answers
+        return max(_TRY_KNOWN, 1 / (1 / _TRY_UNKNOWN + known))
+
     def note(self, kind: str, service: str, start: Start, took: Seconds) -> None:
         """Learn from one answer.
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -119,13 +119,25 @@
     assert (picks[0] is not None) is taken
 
 
-def test_a_service_found_full_gets_only_what_starts_fast():
+def test_a_service_found_full_gets_only_what_starts_fast(monkeypatch):
     """wusta-listings scale-2: full targets work 1.7 times longer and stayed full for good."""
+    monkeypatch.setattr(WorkTimes, "part_to_try", lambda self, service, fill: 0.0)
     picks, _ = seek(NEAR, probes_per_s=6000.0, times=40, running=2, most=9.0)
     assert [why for _, why in picks[:2]] == ["best"] * 2
     assert picks[-10:] == [None] * 10
 
 
+def test_a_nearly_full_target_is_tried_now_and_then_to_learn_what_that_costs(monkeypatch):
+    """bbd-gateway: what nobody tried was taken to be slow for good."""
+    monkeypatch.setattr(WorkTimes, "part_to_try", lambda self, service, fill: 0.5)
+    enough = {"probes_per_s": 6000.0, "times": 20, "running": 2, "most": 0.0, "most_late": 0.0}
+    picks, _ = seek(NEAR, **enough)
+    assert [why for _, why in filter(None, picks)].count("good") > 5
+    slow = {name: 7.0 for _, name in NEAR}
+    picks, _ = seek(NEAR, **enough, slowness=slow)
+    assert not any(picks)
+
+
 def test_a_slow_target_is_taken_late_only_where_none_has_been_good_for_a_while():
     async def act(seeker, instances, targets, choose):
         found = choose()
--- a/tests/test_saturation.py
+++ b/tests/test_saturation.py
@@ -1,4 +1,4 @@
-"""How full a service is, by what probes find."""
+"""Whether a service has targets to spare, by what probes find."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
         return self.now
 
 
-def noted(*found, clock=None):
+def noted(*bad, clock=None):
     saturation = Saturation(clock=clock or Clock())
-    for full in found:
-        saturation.note(full=full)
+    for found in bad:
+        saturation.note(usable=not found)
     return saturation
 
 
@@ -30,7 +30,7 @@
 
 
 def test_room_ends_gradually():
-    assert noted(*[True] * 5).room == 1.0  # a few full ones mean nothing
+    assert noted(*[True] * 5).room == 1.0  # a few bad ones mean nothing
     some = noted(*[True] * 11)
     assert ROOM_UP_TO < some.share < NO_ROOM_FROM
     assert 0.0 < some.room < 1.0
@@ -42,5 +42,5 @@
     saturation = noted(*[True] * 60, clock=clock)
     clock.now += 1.5
     assert (saturation.share, saturation.room) == (0.0, 1.0)
-    saturation.note(full=True)
+    saturation.note(usable=False)
     assert saturation.share < 0.2  # it starts anew
--- a/tests/test_work_times.py
+++ b/tests/test_work_times.py
@@ -94,3 +94,10 @@
     for _ in range(40):
         times.note("read", "records", start, WORK_S * 5)
     assert times.slowed_by("records", 1.0) == before
+
+
+def test_the_less_is_known_of_a_fullness_the_more_often_it_is_tried():
+    times = WorkTimes()
+    unknown = times.part_to_try("records", 1.0)
+    known = learnt(6, late).part_to_try("records", 1.0)
+    assert 0.1 > unknown > known > 0.0
