--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -146,9 +146,8 @@
         assert (await found).why == "good"
         # It is slow now, but was good just before: come back rather than be late.
         assert await answered_slowly(instances, targets, choose) is None
-        while not (late := await answered_slowly(instances, targets, choose)):
-            pass
-        assert late.why == "best"
+        tries = [await answered_slowly(instances, targets, choose) for _ in range(60)]
+        assert [pick.why for pick in filter(None, tries)][-1:] == ["best"]
 
     queued([("hall-a", "t-0")], act)
 
