--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -139,8 +139,7 @@
     def _queue(self, service: str) -> ServiceQueue:
         queue = self._queues.get(service)
         if queue is None:
-            clock = self._loop.time
-            queue = ServiceQueue(service, Saturation(clock=clock), Saturation(clock=clock))
+            queue = ServiceQueue(service, Saturation(clock=self._loop.time))
             self._queues[service] = queue
         return queue
 
@@ -235,11 +234,11 @@
         knows beforehand, and those behind it are late too.  Where none has been good
         for a while, slow ones are what there is, and an answer may be late.
         """
-        slow = now - queue.good_at >= _SLOW_FOR_S
-        if excess(instance) > 0 or self._chooser.expected(instance, now) > most[slow]:
+        in_time, late = most
+        limit = in_time if now - queue.good_at < _SLOW_FOR_S else late
+        if excess(instance) > 0 or self._chooser.expected(instance, now) > limit:
             return False
-        room = queue.free.room if slow else queue.good.room
-        return self._chooser.good(instance, now) or self._rng.random() < room
+        return self._chooser.good(instance, now) or self._rng.random() < queue.saturation.room
 
     # -- asking
 
@@ -292,8 +291,7 @@
             queue.overdue.discard(instance)
         usable = self._take_answer(instance, asked)
         if usable:
-            queue.good.note(usable=self._chooser.good(instance, self._loop.time()))
-            queue.free.note(usable=not self._chooser.is_full(instance))
+            queue.saturation.note(full=self._chooser.is_full(instance))
         used = usable and self._offer(queue, instance, asked)
         if not used:
             self._targets.release(instance.address, asked)
--- a/dunlinnotch/coordination/choosing/saturation.py
+++ b/dunlinnotch/coordination/choosing/saturation.py
@@ -1,9 +1,9 @@
-"""Tell whether a service has targets to spare, from what probes find.
+"""Tell whether the targets of a service are full, from what probes find.
 
 A target whose slots are nearly all taken works more slowly on what it starts,
-and so does one that is slow for the moment.  A service whose targets are filled
-with such work serves less than it could, and stays full.  What is sent to targets
-that are not good is therefore thinned out as fewer of the probes find a good one.
+so a service whose targets are all full serves less than one whose targets are
+nearly full, and stays full.  What is sent to such targets is therefore thinned
+out as more of the probes find them full.
 """
 
 from __future__ import annotations
@@ -17,13 +17,12 @@
 _GAIN = 0.1
 #: What reports told is forgotten when none came for so long, in seconds.
 _FORGET_S = 1.0
-#: Share of targets not good up to which a service has room, and from which it has none:
-#: about a third are slow at any time where targets share their machines with others.
+#: Share of full targets up to which a service has room, and from which it has none.
 ROOM_UP_TO, NO_ROOM_FROM = 0.6, 0.85
 
 
 class Saturation:
-    """The share of a service's targets that probes find not to be usable.
+    """The share of a service's targets that probes find full.
 
     Parameters
     ----------
@@ -35,14 +34,14 @@
         self._share = 0.0
         self._noted_at: Seconds = clock()
 
-    def note(self, *, usable: bool) -> None:
-        """Take in whether a target that was probed was usable."""
-        self._share = self.share + _GAIN * (float(not usable) - self.share)
+    def note(self, *, full: bool) -> None:
+        """Take in whether a target that was probed was full."""
+        self._share = self.share + _GAIN * (float(full) - self.share)
         self._noted_at = self._clock()
 
     @property
     def share(self) -> float:
-        """The share of targets found not usable lately; 0 where nothing was heard."""
+        """The share of targets found full lately; 0 where nothing was heard."""
         return self._share if self._clock() - self._noted_at < _FORGET_S else 0.0
 
     @property
--- a/dunlinnotch/coordination/choosing/waiting.py
+++ b/dunlinnotch/coordination/choosing/waiting.py
@@ -68,9 +68,7 @@
     """The requests that wait for a target of one service."""
 
     service: str
-    #: Whether there are good targets, and whether there are free ones, good or slow.
-    good: Saturation
-    free: Saturation
+    saturation: Saturation
     waiters: list[Waiter] = field(default_factory=list)
     #: Targets asked, whose answers are being waited for.
     asking: set[Instance] = field(default_factory=set)
