--- a/tests/test_goodput.py
+++ b/tests/test_goodput.py
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize(
-    ("model", "least"), zip(MODELS, LEAST, strict=True), ids=[model.name for model in MODELS]
+    ("model", "least"), list(zip(MODELS, LEAST, strict=True)), ids=[model.name for model in MODELS]
 )
 def test_twice_the_load_that_targets_can_take_leaves_them_useful(model, least):
     assert goodput(model, 2.0, seed=1, seconds=4.0) > least
