Log content and caller of each request, and whether a target ended under it

Cause: the logs could not tell a request that comes again under a new id from different requests that happen to be at targets that end: the id changes with each arrival, and a connection that closes looks the same whether the target ended or broke off one answer. Change: a fingerprint (caller, method, host, path, length, body) and the caller's number on each route line; after a broken attempt the box opens one connection, and "target-ended" is logged if nobody listens any more. The stand-in of a worker can end under a request and come back. Ruled out: silence and a reset after connecting do not count as an end (links that are cut, targets with too many connections).

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -167,6 +167,10 @@
     def __init__(self, targets: dict[str, ModelTarget]) -> None:
         self._targets = targets
 
+    async def has_ended(self, address: str) -> bool:
+        """Return that the target is there: none ends in a model."""
+        return False
+
     async def ask(self, address: str, path: str) -> Asked:
         """Probe a target."""
         await asyncio.sleep(_TRAVEL_S)
--- a/dunlinnotch/coordination/requests/bodies.py
+++ b/dunlinnotch/coordination/requests/bodies.py
@@ -36,6 +36,11 @@
         """The body if all of it is held."""
         return bytes(self._held) if self._whole else None
 
+    @property
+    def held(self) -> bytearray:
+        """What is held of the body."""
+        return self._held
+
     @property
     def resendable(self) -> bool:
         """Whether the body may be sent (again) from its start."""
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -16,6 +16,7 @@
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.requests.bodies import HeldBody
+from dunlinnotch.coordination.requests.fingerprint import fingerprint
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
 from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
@@ -99,6 +100,7 @@
     body: HeldBody
     reply: ReplyPort
     point: float
+    fingerprint: str = ""
     kind: RequestKind | None = None
     service: str = ""
     version: int = 0
@@ -109,6 +111,7 @@
     scope: asyncio.Timeout | None = None
     tries: list[_Try] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
+    ended_under: list[str] = field(default_factory=list)
 
 
 class ForwardObserver(Protocol):
@@ -226,6 +229,7 @@
         try:
             async with asyncio.timeout_at(until) as run.scope:
                 await run.body.hold(_HOLD)
+                run.fingerprint = fingerprint(request, run.body.held)
                 ending = await self._attempts(run)
         except TimeoutError:
             if ending is None:
@@ -376,8 +380,24 @@
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
         if end.reason is not Reason.BODY_BROKEN:
             self._chooser.failed(instance, now)
+            await self._note_if_ended(run, instance)
         return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
 
+    async def _note_if_ended(self, run: _Run, instance: Instance) -> None:
+        """Note that a target ended, where it did not just break off one answer."""
+        if not await self._targets.has_ended(instance.address):
+            return
+        run.ended_under.append(instance.name)
+        event(
+            _log,
+            "target-ended",
+            instance=instance.name,
+            service=instance.listed.service,
+            target=instance.address,
+            request=run.request.request_id,
+            fingerprint=run.fingerprint,
+        )
+
     @staticmethod
     def _ran_before(run: _Run) -> bool:
         """Return whether an attempt before the last one may have run."""
@@ -411,6 +431,7 @@
         except BodyCutError as error:
             self._chooser.failed(instance, self._loop.time())
             run.tries[-1].end = "cut"
+            await self._note_if_ended(run, instance)
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
@@ -455,6 +476,8 @@
             _log,
             "route",
             request=run.request.request_id,
+            caller=run.request.caller,
+            fingerprint=run.fingerprint,
             kind=kind,
             service=run.service,
             version=run.version,
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -55,6 +55,7 @@
         arrived=exchange.arrived,
         deadline=exchange.arrived + deadline,
         length=exchange.length,
+        caller=exchange.remote,
     )
 
 
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -33,6 +33,8 @@
         Monotonic seconds at which the caller stops waiting.
     length : int or None
         Bytes in the body; ``None`` if it comes in chunks.
+    caller : str
+        The caller's IP number.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     arrived: Seconds
     deadline: Seconds
     length: int | None = 0
+    caller: str = ""
 
 
 class Verdict(Enum):
@@ -121,10 +124,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the request reached the target."""
+    """No byte of the request reached the target; ``refused`` if nobody listens there."""
 
     reason: Reason
     detail: str
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +184,9 @@
     def release(self, address: Address, asked: Asked) -> None:
         """Give back the connection of a probe that is not used."""
 
+    async def has_ended(self, address: Address) -> bool:
+        """Return whether nobody listens at a target's address any more."""
+
     async def attempt(
         self,
         address: Address,
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -82,6 +82,8 @@
         Given a path, returns the work in seconds; ``work_s`` for all if left out.
     draw_fault : callable, optional
         Returns what is wrong with the next answer once ``faults`` is used up.
+    ends_under : callable, optional
+        Given a path, returns whether a request for it ends the worker that runs it.
     """
 
     slots: int = 3
@@ -94,6 +96,7 @@
     faults: list[WorkerFault] = field(default_factory=list)
     work_of: Callable[[str], float] | None = None
     draw_fault: Callable[[], WorkerFault] | None = None
+    ends_under: Callable[[str], bool] | None = None
 
 
 class WorkerStandin:
@@ -107,6 +110,8 @@
         Its id.
     hold : asyncio.Event or None
         If set, work goes on until it is set.
+    ended : asyncio.Event
+        Set once a request has ended it.
     """
 
     def __init__(self, settings: WorkerSettings | None = None) -> None:
@@ -119,6 +124,7 @@
         self.address = ""
         self.hold: asyncio.Event | None = None
         self.began = asyncio.Event()
+        self.ended = asyncio.Event()
         self._running = 0
         self._waiting = 0
         self._slots = asyncio.Semaphore(self.settings.slots)
@@ -141,6 +147,17 @@
         """Whether it works on a request, or one waits."""
         return self._running + self._waiting > 0
 
+    async def _end(self) -> None:
+        """End as a process does: nobody listens, and all connections are closed."""
+        self.ended.set()
+        await self.close()
+
+    async def start_again(self) -> str:
+        """Come back at the same address after an end; return the new id."""
+        self.ended.clear()
+        await self.start(self.address)
+        return self.replace()
+
     def replace(self) -> str:
         """Have another worker take over the address; return its id."""
         self.instance = f"i-{next(_numbers):08x}"
@@ -215,6 +232,10 @@
         run.body = b"".join([part async for part in exchange.body()])
         self.ran.append(run)
         self.began.set()
+        ends_under = self.settings.ends_under
+        if ends_under is not None and ends_under(run.path):
+            await self._end()
+            return
         if self.hold is not None:
             await self.hold.wait()
         work_of = self.settings.work_of
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -138,6 +138,10 @@
         if isinstance(link, TargetLink):
             self.pool(address).give_back(link)
 
+    async def has_ended(self, address: Address) -> bool:
+        """Return whether nobody listens at a target's address any more."""
+        return await self.pool(address).refuses()
+
     async def ask(self, address: Address, path: str) -> Asked:
         """Probe a target; the connection stays taken until it is used or released.
 
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -14,6 +14,9 @@
 
 #: Longest wait for a new connection, in seconds.
 _CONNECT_S = 0.6
+#: Time in which an address without a process refuses a connection, in seconds: some round
+#: trips between places.
+_REFUSAL_S = 0.05
 
 
 class LinkPool:
@@ -49,6 +52,25 @@
             self._drop(link)
         return await self.connect()
 
+    async def refuses(self) -> bool:
+        """Return whether the address refuses a new connection: no process listens there.
+
+        Notes
+        -----
+        A connection that comes about is kept for later.  Silence, and a reset after
+        connecting, do not count: a link that is cut looks like the first, a target that
+        has too many connections like the second.
+        """
+        try:
+            async with asyncio.timeout(_REFUSAL_S):
+                link = await self.connect()
+        except TimeoutError:
+            return False
+        if isinstance(link, NotSent):
+            return link.refused
+        self.give_back(link)
+        return False
+
     async def connect(self) -> TargetLink | NotSent:
         """Open a connection."""
         self._forget_closed()
@@ -62,7 +84,9 @@
                 await self._loop.create_connection(lambda: link, host, int(port))
         except (OSError, TimeoutError) as error:
             self.open.discard(link)
-            return NotSent(Reason.CONNECT_FAILED, f"{type(error).__name__}: {error}")
+            refused = isinstance(error, ConnectionRefusedError)
+            detail = f"{type(error).__name__}: {error}"
+            return NotSent(Reason.CONNECT_FAILED, detail, refused=refused)
         except asyncio.CancelledError:
             self.open.discard(link)
             raise
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -26,6 +26,11 @@
     asyncio.run(test())
 
 
+def logged(caplog, name):
+    """Return the fields of all events of a name."""
+    return [record.fields for record in caplog.records if record.message == name]
+
+
 def test_a_request_is_served_with_the_target_s_own_answer():
     async def test():
         async with stream_world() as world:
@@ -109,6 +114,28 @@
     run(test)
 
 
+def test_a_target_that_ended_is_told_apart_from_one_that_broke_off_an_answer(caplog):
+    async def test():
+        async with stream_world(workers=0) as world:
+            first = await world.add_worker(WorkerSettings(faults=[WorkerFault.LOST]))
+            box = world.boxes[0]
+            await until(lambda: box.instances.of("loans"))
+            assert (await call(box, "/lend/", "lost", method="POST", body=b"x")).status == 502
+            assert not logged(caplog, "target-ended")
+            first.settings.ends_under = lambda path: path.endswith("worst")
+            answer = await call(box, "/lend/worst", "last", method="POST", body=b"x")
+            assert answer.status == 502
+            assert first.ended.is_set()
+
+    with caplog.at_level("INFO"):
+        run(test)
+    (ended,) = logged(caplog, "target-ended")
+    (route,) = [r for r in logged(caplog, "route") if r["request"] == "last"]
+    assert ended["request"] == "last"
+    assert ended["fingerprint"] == route["fingerprint"]
+    assert route["caller"] == "127.0.0.1"
+
+
 @pytest.mark.parametrize("fault", [WorkerFault.SURPLUS, WorkerFault.LATE_SURPLUS])
 def test_surplus_answers_belong_to_nobody(fault):
     async def test():
