Send a request to no target once three have ended under it, at all boxes

Cause: what targets did to a box, and requests to targets, was judged by each box for each arrival alone. A request that ends each target that runs it comes again under a new id at any box, so every arrival cost as many targets as its kind allows attempts. Ruled out: a box that repeats too often (never more than two tries logged). Change: a request is known by its fingerprint (caller, method, host, path, body). A target counts as ended if nobody listens any more right after it broke off. A box tells peers at once what it saw of requests that were not answered elsewhere; words carry a digest, and who hears another one sends all it has. An answer takes back what was seen before it. After three targets the request is refused at once as not run, with the rest of ten minutes as Retry-After; bars are kept in the platform's store for boxes that start or hear no other place. Found on the way: a repeatable request that ran at its first target and was not taken by the next was answered 503, "has not run"; it is 502 now.

--- a/benchmarks/_boxes.py
+++ b/benchmarks/_boxes.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch.coordination.membership.mesh import RUNNING, Mesh
-from dunlinnotch.protocol.mesh import pack_words
+from dunlinnotch.protocol.mesh import pack_messages
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
 
 if TYPE_CHECKING:
@@ -80,7 +80,7 @@
         while queue:
             words, peer = queue.pop(0)
             self.sent += 1
-            self.sent_bytes += sum(map(len, pack_words(words)))
+            self.sent_bytes += sum(map(len, pack_messages(words)))
             if self.rng.random() >= self.lost:
                 for word in words:
                     queue += self._take(peer, word)
--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -22,9 +22,11 @@
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
+from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.forward import Forwarder
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.protocol.relay import Answered, Asked, Broken, CallerRequest, NotRun
+from dunlinnotch.state.crashes import CrashLog
 from dunlinnotch.state.heads import AnswerHead, Header
 from dunlinnotch.state.instances import InstanceList, ListedTarget, TargetReport
 from dunlinnotch.state.routes import (
@@ -300,6 +302,7 @@
             times=times,
             seeker=seeker,
             make_repeats=lambda: RepeatShare(ratio=0.2, slack=62, window=10, clock=clock),
+            guard=CrashGuard(CrashLog(clock=clock), targets, tell=lambda _: None),
             targets=targets,
             observer=NoObserver(),
             rng=rng,
--- /dev/null
+++ b/dunlinnotch/coordination/membership/crash_news.py
@@ -0,0 +1,245 @@
+"""Keep alike, at all boxes, what was seen of requests that end their targets.
+
+What a box sees goes at once to a few peers, which pass on what is new to them.  Each
+word of a box carries the digest of its evidence; whoever hears another digest than its
+own sends all that it has.  Requests that are barred are also kept in the platform's
+store, for boxes that find no peer to tell them: after all were lost, or cut off from
+the rest.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+from dunlinnotch.errors import PlatformUnavailableError, ProtocolError
+from dunlinnotch.protocol.crashes import (
+    SeenCrashes,
+    as_ages,
+    from_ages,
+    pack_crashes,
+    unpack_crashes,
+)
+from dunlinnotch.protocol.store import RowsChange
+from dunlinnotch.state.crashes import BAR_AT, KEEP_S
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable
+
+    from dunlinnotch.coordination.membership.mesh import Mesh
+    from dunlinnotch.protocol.mesh import BoxWord
+    from dunlinnotch.protocol.store import RowsRead, RowStore
+    from dunlinnotch.state.crashes import CrashLog, Evidence
+    from dunlinnotch.types import Address, Seconds
+
+    Send = Callable[[Iterable[SeenCrashes], Iterable[Address]], None]
+
+#: Our own table in the platform's store: a row for each barred request.
+TABLE = "requests-that-end-targets"
+#: All evidence is sent to a peer that holds other evidence at most once in so long, in
+#: seconds: what is new reaches most boxes by themselves meanwhile.
+_REPAIR_S = 0.8
+#: Time between two looks whether the store is to be read or written, in seconds.
+_LOOK_S = 0.1
+#: Time for which a new box leaves it to its peers to tell it, in seconds: those of a
+#: place that start together need one reader.
+_PATIENCE_S = 0.8
+#: A new box serves after so long without any evidence, in seconds: a store that answers
+#: for the settings and not for this must not stop the service.
+_SERVE_ANYHOW_S = 2.0
+#: Time between two reads of a box that does not hear some place, in seconds: well under
+#: the time within which all boxes are to know.
+_CUT_OFF_S = 1.5
+#: Pause after a call to the store that failed, in seconds.
+_PAUSE_S = 0.4
+#: Lapsed rows that are removed with one change.
+_REMOVED_MOST = 40
+
+_log = logging.getLogger(__name__)
+
+
+class CrashNews:
+    """Tell the evidence of this box, and take in that of the others.
+
+    Parameters
+    ----------
+    log : CrashLog
+    mesh : Mesh
+    store : RowStore
+    send : callable
+        Sends evidence to peers.
+    rng : random.Random
+
+    Attributes
+    ----------
+    known : bool
+        Whether this box holds what was seen before it started.
+    """
+
+    def __init__(
+        self, log: CrashLog, mesh: Mesh, store: RowStore, *, send: Send, rng: random.Random
+    ) -> None:
+        self._evidence = log
+        self._mesh = mesh
+        self._store = store
+        self._send = send
+        self._rng = rng
+        self._began = log.now
+        self._read_at = -math.inf
+        self._told_all_at: dict[str, Seconds] = {}
+        self._to_keep: set[str] = set()
+        self.known = False
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether the box may take requests as far as this goes."""
+        return self.known or self._evidence.now - self._began > _SERVE_ANYHOW_S
+
+    # -- to and from peers
+
+    def tell(self, evidence: Evidence) -> None:
+        """Tell peers what this box has seen itself."""
+        self._changed(evidence)
+        if len(evidence.targets) >= BAR_AT:
+            self._to_keep.add(evidence.request)
+
+    def take(self, seen: SeenCrashes) -> None:
+        """Take in what a peer tells; pass it on if it is new."""
+        evidence = self._evidence.merge(from_ages(seen, self._evidence.now))
+        if evidence is not None:
+            self._changed(evidence)
+
+    def heard(self, word: BoxWord) -> None:
+        """Compare a peer's evidence with this box's own."""
+        digest = self._evidence.digest
+        if word.crashes == digest:
+            self._now_known()
+            return
+        last = self._told_all_at.get(word.name, -math.inf)
+        if len(self._evidence) and self._evidence.now - last > _REPAIR_S:
+            self._told_all_at[word.name] = self._evidence.now
+            self._send(self._all(), [word.peer])
+
+    def _all(self) -> list[SeenCrashes]:
+        now = self._evidence.now
+        return [as_ages(evidence, now) for evidence in self._evidence]
+
+    def _changed(self, evidence: Evidence) -> None:
+        event(
+            _log,
+            "evidence",
+            fingerprint=evidence.request,
+            targets=sorted(evidence.targets),
+            answers=evidence.answers,
+            barred_for_s=round(self._evidence.barred_for(evidence.request), 1),
+        )
+        self._publish()
+        peers = {*self._mesh.to_tell_news(), *self._mesh.to_tell_far()}
+        self._send([as_ages(evidence, self._evidence.now)], peers)
+
+    def _publish(self) -> None:
+        """Put the digest into the words of this box."""
+        self._mesh.crashes = self._evidence.digest if self.known else None
+
+    def _now_known(self) -> None:
+        if not self.known:
+            self.known = True
+            event(_log, "evidence-known", requests=len(self._evidence))
+        self._publish()
+
+    # -- to and from the store
+
+    async def run(self) -> None:
+        """Read and write the store's rows whenever this box is to."""
+        while True:
+            await asyncio.sleep(_LOOK_S * (0.8 + 0.4 * self._rng.random()))
+            try:
+                if self._is_to_read():
+                    self._take_rows(await self._read())
+                for request in list(self._to_keep):
+                    await self._keep(request)
+            except PlatformUnavailableError as error:
+                event(_log, "evidence-store-failed", level=logging.WARNING, detail=str(error))
+                await asyncio.sleep(_PAUSE_S)
+
+    def _is_to_read(self) -> bool:
+        now = self._evidence.now
+        if not self.known:
+            return self._mesh.is_first() or now - self._began > _PATIENCE_S
+        cut_off = self._mesh.is_first() and bool(self._mesh.silent_places())
+        return cut_off and now - self._read_at > _CUT_OFF_S
+
+    async def _read(self) -> RowsRead:
+        self._read_at = self._evidence.now
+        return await self._store.read_rows(TABLE)
+
+    def _take_rows(self, read: RowsRead) -> None:
+        for evidence in self._kept(read).values():
+            merged = self._evidence.merge(evidence)
+            if merged is not None:
+                self._changed(merged)
+        self._now_known()
+
+    def _kept(self, read: RowsRead) -> dict[str, Evidence]:
+        """Return the evidence in rows, by this box's clock; what can't be read is logged."""
+        kept = {}
+        for row in read.rows:
+            try:
+                kept[row.key] = _by_clock(
+                    unpack_crashes(row.value or b""), read, self._evidence.now
+                )
+            except ProtocolError as error:
+                event(_log, "evidence-unreadable", level=logging.WARNING, detail=str(error))
+        return kept
+
+    async def _keep(self, request: str) -> None:
+        """Keep a barred request in the store, unless it is kept already or barred no more."""
+        read = await self._read()
+        self._take_rows(read)
+        own = self._evidence.find(request)
+        kept = self._kept(read)
+        if own is None or len(own.targets) < BAR_AT or _covers(kept.get(request), own):
+            self._to_keep.discard(request)
+            return
+        versions = {row.key: row.version for row in read.rows}
+        lapsed = [k for k in versions if k not in kept or kept[k].last_at <= self._oldest]
+        lapsed = [key for key in lapsed if key != request][:_REMOVED_MOST]
+        expected = {key: versions[key] for key in lapsed}
+        expected[request] = versions.get(request, 0)
+        value = pack_crashes(_by_store(own, read, self._evidence.now))
+        change = RowsChange(TABLE, expected, {request: value}, tuple(lapsed))
+        if await self._store.change_rows(change):
+            self._to_keep.discard(request)
+            event(_log, "evidence-kept", fingerprint=request, removed=len(lapsed))
+
+    @property
+    def _oldest(self) -> Seconds:
+        return self._evidence.now - KEEP_S
+
+
+def _covers(kept: Evidence | None, own: Evidence) -> bool:
+    """Return whether what is kept bars a request as what this box holds does."""
+    return kept is not None and kept.answers == own.answers and len(kept.targets) >= BAR_AT
+
+
+def _by_store(evidence: Evidence, read: RowsRead, now: Seconds) -> SeenCrashes:
+    """Return evidence with times of the store's clock."""
+    ages = as_ages(evidence, now)
+    at = round(read.now * 1000)
+    return SeenCrashes(
+        ages.request,
+        ages.answers,
+        at - ages.answered_ms if ages.answers else 0,
+        {target: at - age for target, age in ages.targets.items()},
+    )
+
+
+def _by_clock(kept: SeenCrashes, read: RowsRead, now: Seconds) -> Evidence:
+    """Return kept evidence with times of this box's clock."""
+    at = round(read.now * 1000)
+    ages = {target: at - seen for target, seen in kept.targets.items()}
+    return from_ages(SeenCrashes(kept.request, kept.answers, at - kept.answered_ms, ages), now)
--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -80,6 +80,7 @@
         self.state = STARTING
         self.reading = True
         self.in_flight = 0
+        self.crashes: int | None = None
         self.peer = peer
         self._incarnation = incarnation
         self._caller = caller
@@ -118,6 +119,7 @@
             boxes=dict(self._place_boxes),
             tables=tables,
             wants_word=wants_word,
+            crashes=self.crashes,
         )
 
     def take(self, word: BoxWord) -> bool:
@@ -243,6 +245,10 @@
         now = self._clock()
         return [h.word for h in self._heard.values() if now - h.at <= SUSPECT_S]
 
+    def silent_places(self) -> set[str]:
+        """Return the places that have boxes none of which is heard."""
+        return set(self._place_boxes) - {self.place, *(word.place for word in self.live())}
+
     def is_first(self) -> bool:
         """Return whether this box is the one of its place that follows the store."""
         able = [self.name] if self.reading and self.state != DRAINING else []
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -16,6 +16,7 @@
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.requests.bodies import HeldBody
+from dunlinnotch.coordination.requests.crash_guard import Suspect
 from dunlinnotch.coordination.requests.fingerprint import fingerprint
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
@@ -31,6 +32,7 @@
     from dunlinnotch.coordination.choosing.fresh import FreshChooser
     from dunlinnotch.coordination.choosing.waiting import Pick
     from dunlinnotch.coordination.choosing.work_times import WorkTimes
+    from dunlinnotch.coordination.requests.crash_guard import CrashGuard
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
@@ -60,12 +62,15 @@
     status : int
     reason : Reason or None
     detail : str
+    retry_after : float or None
+        Seconds after which the caller may come back, if that is known.
     """
 
     outcome: Outcome
     status: int
     reason: Reason | None = None
     detail: str = ""
+    retry_after: Seconds | None = None
 
 
 @dataclass(slots=True)
@@ -100,7 +105,7 @@
     body: HeldBody
     reply: ReplyPort
     point: float
-    fingerprint: str = ""
+    suspect: Suspect = field(default_factory=lambda: Suspect(""))
     kind: RequestKind | None = None
     service: str = ""
     version: int = 0
@@ -111,7 +116,6 @@
     scope: asyncio.Timeout | None = None
     tries: list[_Try] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
-    ended_under: list[str] = field(default_factory=list)
 
 
 class ForwardObserver(Protocol):
@@ -136,6 +140,7 @@
     seeker : TargetSeeker
     make_repeats : callable
         Makes the repeat budget of a service.
+    guard : CrashGuard
     targets : TargetPort
     observer : ForwardObserver
     rng : random.Random
@@ -151,6 +156,7 @@
         times: WorkTimes,
         seeker: TargetSeeker,
         make_repeats: Callable[[], RepeatShare],
+        guard: CrashGuard,
         targets: TargetPort,
         observer: ForwardObserver,
         rng: random.Random,
@@ -162,6 +168,7 @@
         self._times = times
         self._seeker = seeker
         self._make_repeats = make_repeats
+        self._guard = guard
         self._targets = targets
         self._observer = observer
         self._rng = rng
@@ -208,13 +215,18 @@
         try:
             ending = await self._matched(run)
         except asyncio.CancelledError:
-            self._log_end(run, Ending(Outcome.UNKNOWN, 0, Reason.CALLER_GONE, "the caller left"))
+            self._end(run, Ending(Outcome.UNKNOWN, 0, Reason.CALLER_GONE, "the caller left"))
             raise
         finally:
             self._running.discard(run)
-        self._log_end(run, ending)
+        self._end(run, ending)
         return ending
 
+    def _end(self, run: _Run, ending: Ending) -> None:
+        answered = ending.outcome is Outcome.ANSWERED and ending.status < 500
+        self._guard.finished(run.suspect, answered=answered)
+        self._log_end(run, ending)
+
     # -- matching, time and refusals
 
     async def _matched(self, run: _Run) -> Ending:
@@ -229,7 +241,7 @@
         try:
             async with asyncio.timeout_at(until) as run.scope:
                 await run.body.hold(_HOLD)
-                run.fingerprint = fingerprint(request, run.body.held)
+                run.suspect = Suspect(fingerprint(request, run.body.held))
                 ending = await self._attempts(run)
         except TimeoutError:
             if ending is None:
@@ -240,7 +252,12 @@
                 ending = Ending(Outcome.UNKNOWN, 502, Reason.BODY_BROKEN, str(error))
         except CallerGoneError as error:
             return Ending(Outcome.UNKNOWN, 0, Reason.CALLER_GONE, str(error))
-        return self._refuse(run, ending) if ending.outcome is not Outcome.ANSWERED else ending
+        if ending.outcome is Outcome.ANSWERED:
+            return ending
+        if ending.outcome is Outcome.NOT_RUN and run.may_have_run:
+            # The last target did not run it, but one before may have.
+            ending = Ending(Outcome.UNKNOWN, 502, ending.reason, ending.detail)
+        return self._refuse(run, ending)
 
     def _look_up(self, run: _Run) -> Ending | None:
         """Match the request by the settings in force now."""
@@ -276,19 +293,25 @@
             return ending
         headers = []
         if ending.status == 503:
-            wait = _COME_BACK_UNKNOWING_S if ending.reason is Reason.NO_SETTINGS else _COME_BACK_S
-            if run.kind is not None:
-                wait += run.kind.target_latency * _WAIT_SHARE * self._rng.random()
-            headers.append(Header("Retry-After", f"{wait:.3f}"))
+            headers.append(Header("Retry-After", f"{self._come_back(run, ending):.3f}"))
         run.reply.reply(ending.status, headers, b"")
         return ending
 
+    def _come_back(self, run: _Run, ending: Ending) -> Seconds:
+        """Return after how long a refused caller may come back."""
+        if ending.retry_after is not None:
+            return ending.retry_after
+        wait = _COME_BACK_UNKNOWING_S if ending.reason is Reason.NO_SETTINGS else _COME_BACK_S
+        if run.kind is not None:
+            wait += run.kind.target_latency * _WAIT_SHARE * self._rng.random()
+        return wait
+
     # -- attempts
 
     async def _attempts(self, run: _Run) -> Ending:
         last: Ending | None = None
         while True:
-            missing = self._look_up(run)
+            missing = self._look_up(run) or self._barred(run)
             if missing is not None:
                 return last or missing
             assert run.kind is not None
@@ -312,13 +335,21 @@
                 return settled
             last = settled
 
+    def _barred(self, run: _Run) -> Ending | None:
+        """Return the refusal of a request under which targets ended, here or elsewhere."""
+        wait = self._guard.barred_for(run.suspect)
+        if not wait:
+            return None
+        detail = "targets ended under this request each time it was run"
+        return Ending(Outcome.NOT_RUN, 503, Reason.REQUEST_BARRED, detail, retry_after=wait)
+
     def _still(self, run: _Run, pick: Pick) -> bool:
         """Return whether what the choice rests on still holds after waiting for probes."""
         table = self._routes()
         kind = None if table is None else table.match(run.request.host, run.request.path)
         if kind is None or kind.service_at(run.point) != pick.instance.listed.service:
             return False
-        return not pick.instance.replaced
+        return not pick.instance.replaced and self._barred(run) is None
 
     def _nobody(self, run: _Run, service: str) -> Ending:
         if not self._instances.of(service):
@@ -367,7 +398,7 @@
             return await self._relay(run, kind, instance, end)
         if isinstance(end, NotSent):
             run.sends -= 1
-            run.may_have_run = run.sends > 0 and run.may_have_run and self._ran_before(run)
+            run.may_have_run = self._ran_before(run)
             self._chooser.failed(instance, now)
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
@@ -380,24 +411,9 @@
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
         if end.reason is not Reason.BODY_BROKEN:
             self._chooser.failed(instance, now)
-            await self._note_if_ended(run, instance)
+            await self._guard.look(run.suspect, run.request, instance)
         return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
 
-    async def _note_if_ended(self, run: _Run, instance: Instance) -> None:
-        """Note that a target ended, where it did not just break off one answer."""
-        if not await self._targets.has_ended(instance.address):
-            return
-        run.ended_under.append(instance.name)
-        event(
-            _log,
-            "target-ended",
-            instance=instance.name,
-            service=instance.listed.service,
-            target=instance.address,
-            request=run.request.request_id,
-            fingerprint=run.fingerprint,
-        )
-
     @staticmethod
     def _ran_before(run: _Run) -> bool:
         """Return whether an attempt before the last one may have run."""
@@ -431,7 +447,7 @@
         except BodyCutError as error:
             self._chooser.failed(instance, self._loop.time())
             run.tries[-1].end = "cut"
-            await self._note_if_ended(run, instance)
+            await self._guard.look(run.suspect, run.request, instance)
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
@@ -477,7 +493,7 @@
             "route",
             request=run.request.request_id,
             caller=run.request.caller,
-            fingerprint=run.fingerprint,
+            fingerprint=run.suspect.fingerprint,
             kind=kind,
             service=run.service,
             version=run.version,
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -10,18 +10,22 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from dunlinnotch._clocks import elapsed
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
+from dunlinnotch.coordination.membership.crash_news import CrashNews
 from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, Mesh
+from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.forward import Forwarder
 from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
 from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.daemon.figures import Figures
 from dunlinnotch.daemon.stop import StopPlan
 from dunlinnotch.errors import ProtocolError
+from dunlinnotch.state.crashes import CrashLog
 from dunlinnotch.state.followed import FollowedTable
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.instances import InstanceList
@@ -31,11 +35,12 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Iterable
 
+    from dunlinnotch.protocol.crashes import SeenCrashes
     from dunlinnotch.protocol.mesh import BoxWord
     from dunlinnotch.protocol.relay import CallerRequest, TargetDialect
-    from dunlinnotch.protocol.store import TableSource
+    from dunlinnotch.protocol.store import RowStore, TableSource
     from dunlinnotch.state.followed import TableDelta, TableRow
     from dunlinnotch.state.instances import ListedTarget
     from dunlinnotch.state.routes import RouteTable
@@ -102,6 +107,8 @@
     targets : TargetDialect
     read_request : callable
         Makes a caller's request of an exchange; ``None`` if it is none.
+    rows : RowStore
+        Keeps the box's own rows.
     store_calls, store_failures : callable
         Counts, for the metrics.
     """
@@ -114,6 +121,7 @@
     read_target: Callable[[str, bytes], ListedTarget]
     targets: TargetDialect
     read_request: Callable[[Exchange], CallerRequest | None]
+    rows: RowStore
     store_calls: Callable[[], int]
     store_failures: Callable[[], int]
 
@@ -168,6 +176,11 @@
         ]
         self.figures = Figures(self._gauges)
         self._targets = TargetClient(adapter.targets)
+        self.crashes = CrashLog(clock=elapsed)
+        self.crash_news = CrashNews(
+            self.crashes, self.mesh, adapter.rows, send=self._send_crashes, rng=rng
+        )
+        self._crash_guard = CrashGuard(self.crashes, self._targets, tell=self.crash_news.tell)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
         times = WorkTimes()
         chooser = FreshChooser(place=settings.place, times=times, rng=rng)
@@ -188,13 +201,14 @@
             times=times,
             seeker=self.seeker,
             make_repeats=self._make_repeats,
+            guard=self._crash_guard,
             targets=self._targets,
             observer=self.figures,
             rng=rng,
         )
         self.limits = ServerLimits()
         self._front = StreamServer(self._serve, limits=self.limits)
-        self._words = WordPort(self._take_word)
+        self._words = WordPort(self._take_word, self.crash_news.take)
         self._table_port = TablePort(self._tell_table)
         self._servers: list[StreamServer] = []
         self._fetching: set[str] = set()
@@ -224,6 +238,7 @@
         await self._hear_peers()
         for follower in self.followers:
             self._spawn(follower.run())
+        self._spawn(self.crash_news.run())
         self._spawn(self._look_after())
         await self._stop_asked.wait()
         await self._stop()
@@ -316,7 +331,8 @@
             await asyncio.sleep(_LOOK_S)
 
     def _can_serve(self) -> bool:
-        return self.routes.table is not None and all(t.known for t in self.tables.values())
+        known = self.routes.table is not None and all(t.known for t in self.tables.values())
+        return known and self.crash_news.may_serve
 
     def _version(self) -> int:
         return 0 if self.routes.table is None else self.routes.table.version
@@ -430,6 +446,7 @@
         new = not self.mesh.knows(word.name)
         if not self.mesh.take(word):
             return
+        self.crash_news.heard(word)
         if word.wants_word:
             self._introduce(word)
         elif new:
@@ -440,6 +457,9 @@
                 self._fetching.add(table)
                 self._spawn(self._fetch(table, word.peer))
 
+    def _send_crashes(self, seen: Iterable[SeenCrashes], to: Iterable[Address]) -> None:
+        self._words.send(seen, to)
+
     def _introduce(self, word: BoxWord) -> None:
         """Answer a box that knows few others with the words of those that it is to know."""
         self._words.send([self.mesh.own_word(), *self.mesh.introductions(word.place)], [word.peer])
@@ -473,6 +493,8 @@
             "probes_total": float(self.probes.spent),
             "probes_denied_total": float(self.probes.denied),
             "connections_opened_total": float(self._targets.opened),
+            "targets_ended_total": float(self._crash_guard.targets_ended),
+            "requests_barred": float(self.crashes.barred),
             "store_calls_total": float(self._adapter.store_calls()),
             "store_failures_total": float(self._adapter.store_failures()),
             "settings_version": float(self._version()),
--- a/dunlinnotch/daemon/figures.py
+++ b/dunlinnotch/daemon/figures.py
@@ -36,6 +36,8 @@
     FigureInfo("probes_total", "counter", "", "Probes sent to targets."),
     FigureInfo("probes_denied_total", "counter", "", "Probes for which no budget was left."),
     FigureInfo("connections_opened_total", "counter", "", "Connections opened to targets."),
+    FigureInfo("targets_ended_total", "counter", "", "Targets that ended under a request."),
+    FigureInfo("requests_barred", "gauge", "", "Requests sent to no target: they end them."),
     FigureInfo("store_calls_total", "counter", "", "Calls made to the platform's store."),
     FigureInfo("store_failures_total", "counter", "", "Calls to the store without an answer."),
     FigureInfo("settings_version", "gauge", "", "Settings version in force; 0 before any."),
--- a/dunlinnotch/platform/adapter.py
+++ b/dunlinnotch/platform/adapter.py
@@ -20,6 +20,7 @@
         read_target=documents.read_worker,
         targets=WorkerDialect(),
         read_request=read_request,
+        rows=store,
         store_calls=lambda: store.calls,
         store_failures=lambda: store.failures,
     )
--- a/dunlinnotch/platform/store.py
+++ b/dunlinnotch/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's metadata store: read tables and follow their changes."""
+"""The platform's metadata store: read tables, follow their changes, change rows."""
 
 from __future__ import annotations
 
@@ -7,19 +7,20 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from dunlinnotch.errors import PlatformUnavailableError
-from dunlinnotch.protocol.store import HistoryGone
+from dunlinnotch.errors import PlatformUnavailableError, SettingsError
+from dunlinnotch.platform import units
+from dunlinnotch.protocol.store import HistoryGone, RowsChange, RowsRead
 from dunlinnotch.state.followed import TableDelta, TableRow
 from dunlinnotch.transport.stream.fetch import Fetched, Fetcher
 
-_OK, _GONE = 200, 410
+_OK, _GONE, _NOT_AS_EXPECTED = 200, 410, 412
 _PAGE = 500
 #: Time for an answer, beyond what a call is asked to wait, in seconds.
 _ANSWER_S = 1.0
 
 
 class PlatformStore:
-    """Read tables of the store.
+    """Read and change tables of the store.
 
     Parameters
     ----------
@@ -47,8 +48,41 @@
         The version is that of the first page: what changed between two pages
         comes again by the changes after it.
         """
+        rows, first = await self._read_pages(table)
+        return TableDelta(table, _whole(first, "ver"), True, rows)
+
+    async def read_rows(self, table: str) -> RowsRead:
+        """Return all rows of a table, and the store's own time of the first page."""
+        rows, first = await self._read_pages(table)
+        try:
+            return RowsRead(rows, units.seconds(first.get("now"), "now"))
+        except SettingsError as error:
+            msg = f"/api/rows-get: {error}"
+            raise PlatformUnavailableError(msg) from None
+
+    async def change_rows(self, change: RowsChange) -> bool:
+        """Change rows of one table; return whether they were as expected."""
+        plain = {
+            "expected-revision": [
+                {**_name(change.table, key), "ver": ver} for key, ver in change.expected.items()
+            ],
+            "put": [
+                {**_name(change.table, key), "value": base64.b64encode(value).decode()}
+                for key, value in change.put.items()
+            ],
+            "remove": [_name(change.table, key) for key in change.remove],
+        }
+        body = json.dumps(plain).encode()
+        answer = await self._fetcher.fetch("POST", "/api/rows-tx", body=body, timeout=_ANSWER_S)
+        if answer.status == _NOT_AS_EXPECTED:
+            return False
+        _read(answer, "/api/rows-tx")
+        return True
+
+    async def _read_pages(self, table: str) -> tuple[tuple[TableRow, ...], dict[str, Any]]:
+        """Return all rows of a table, and the first page as it came."""
         rows: list[TableRow] = []
-        first: int | None = None
+        first: dict[str, Any] | None = None
         start = ""
         while True:
             query = {"table": table, "part": "", "limit": str(_PAGE)}
@@ -57,9 +91,9 @@
             plain = await self._get("/api/rows-get", query, _ANSWER_S)
             page = [_read_row(row) for row in plain.get("rows", ())]
             rows += [row for row in page if row.key != start or not start]
-            first = _whole(plain, "ver") if first is None else first
+            first = first or plain
             if not plain.get("more") or not page:
-                return TableDelta(table, first, True, tuple(rows))
+                return tuple(rows), first
             start = page[-1].key
 
     async def changes(self, table: str, after: int, wait: float) -> TableDelta | HistoryGone:
@@ -79,6 +113,11 @@
         return await self._fetcher.fetch("GET", f"{path}?{urlencode(query)}", timeout=timeout)
 
 
+def _name(table: str, key: str) -> dict[str, str]:
+    """Return how a row is named; the platform calls a row's key ``tls-key``."""
+    return {"table": table, "part": "", "tls-key": key}
+
+
 def _read(answer: Fetched, path: str) -> dict[str, Any]:
     if answer.status != _OK:
         msg = f"{path}: status {answer.status}"
--- /dev/null
+++ b/dunlinnotch/protocol/crashes.py
@@ -0,0 +1,114 @@
+"""What boxes tell each other, and keep in the store, of requests that end targets."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgpack
+
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.state.crashes import Evidence
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Seconds
+
+#: First item of the message; the word of a box has a number there.
+CRASHES_FORMAT = "ended-1"
+_FIELDS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class SeenCrashes:
+    """Evidence on one request, as it travels.
+
+    Parameters
+    ----------
+    request : str
+    answers : int
+    answered_ms : int
+    targets : dict of str to int
+        See :class:`~dunlinnotch.state.crashes.Evidence`.  Between boxes, times are ages
+        in milliseconds, as each box has a clock of its own; in the store they are
+        milliseconds of the store's clock.
+    """
+
+    request: str
+    answers: int
+    answered_ms: int
+    targets: dict[str, int]
+
+
+def as_ages(evidence: Evidence, now: Seconds) -> SeenCrashes:
+    """Return evidence with ages for times.
+
+    Parameters
+    ----------
+    evidence : Evidence
+    now : float
+        By the clock of whoever holds it.
+    """
+    return SeenCrashes(
+        evidence.request,
+        evidence.answers,
+        round((now - evidence.answered_at) * 1000) if evidence.answers else 0,
+        {target: round((now - at) * 1000) for target, at in evidence.targets.items()},
+    )
+
+
+def from_ages(seen: SeenCrashes, now: Seconds) -> Evidence:
+    """Return evidence by the receiver's own clock; nothing was seen in the future."""
+    return Evidence(
+        seen.request,
+        seen.answers,
+        now - max(0, seen.answered_ms) / 1000 if seen.answers else -math.inf,
+        {target: now - max(0, age) / 1000 for target, age in seen.targets.items()},
+    )
+
+
+def pack_crashes(seen: SeenCrashes) -> bytes:
+    """Return evidence as bytes."""
+    fields = [CRASHES_FORMAT, seen.request, seen.answers, seen.answered_ms, seen.targets]
+    packed: bytes = msgpack.packb(fields)
+    return packed
+
+
+def unpack_crashes(data: bytes) -> SeenCrashes:
+    """Return evidence from bytes.
+
+    Raises
+    ------
+    ProtocolError
+        If they hold anything else.
+    """
+    try:
+        return read_crashes(msgpack.unpackb(data))
+    except (ValueError, msgpack.UnpackException) as error:
+        msg = f"no evidence on a request: {error}"
+        raise ProtocolError(msg) from None
+
+
+def read_crashes(fields: Any) -> SeenCrashes:  # noqa: ANN401 - checked here
+    """Return evidence from the fields of a message.
+
+    Raises
+    ------
+    ProtocolError
+        If they are not of the agreed number and types.
+    """
+    if not isinstance(fields, list) or len(fields) < _FIELDS or fields[0] != CRASHES_FORMAT:
+        msg = f"no evidence of format {CRASHES_FORMAT}: {fields!r:.80}"
+        raise ProtocolError(msg)
+    _, request, answers, answered_ms, targets, *_rest = fields
+    whole = isinstance(answers, int) and isinstance(answered_ms, int) and answers >= 0
+    if not isinstance(request, str) or not whole or not _are_times(targets):
+        msg = f"evidence of the wrong types: {fields!r:.80}"
+        raise ProtocolError(msg)
+    return SeenCrashes(request, answers, answered_ms, targets)
+
+
+def _are_times(targets: object) -> bool:
+    return isinstance(targets, dict) and all(
+        isinstance(target, str) and isinstance(at, int) for target, at in targets.items()
+    )
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -1,6 +1,7 @@
-"""What boxes tell each other: short words by datagram, tables by stream.
+"""What boxes tell each other: short messages by datagram, tables by stream.
 
-A word is one msgpack list; a datagram holds one or a few.  A table is asked for
+A message is one msgpack list, a box's word or what was seen of one request under
+which targets ended; a datagram holds one or a few.  A table is asked for
 over a stream: one msgpack map each way.
 """
 
@@ -12,6 +13,7 @@
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
+from dunlinnotch.protocol.crashes import CRASHES_FORMAT, SeenCrashes, pack_crashes, read_crashes
 from dunlinnotch.state.followed import TableDelta, TableRow
 
 if TYPE_CHECKING:
@@ -20,8 +22,8 @@
     from dunlinnotch.types import Seconds
 
 #: Words of another release, or of nobody, are not taken.
-_FORMAT = 4
-_WORD_FIELDS = 12
+_FORMAT = 5
+_WORD_FIELDS = 13
 #: Bytes of words put into one datagram: it is not to be cut on its way.
 _DATAGRAM_MOST = 1200
 
@@ -68,6 +70,9 @@
     tables : dict of str to TableState
     wants_word : bool
         Whether the sender wants to hear the receiver's word now.
+    crashes : int or None
+        The digest of its evidence on requests that end targets; ``None`` while it does
+        not know what others saw.
     """
 
     name: str
@@ -83,6 +88,7 @@
     boxes: dict[str, int]
     tables: dict[str, TableState]
     wants_word: bool = False
+    crashes: int | None = None
 
     @property
     def age_key(self) -> tuple[int, int]:
@@ -100,11 +106,11 @@
         return replace(self, tables=tables, wants_word=False)
 
 
-def pack_words(words: Iterable[BoxWord]) -> Iterator[bytes]:
-    """Return words in as few datagrams as hold them."""
+def pack_messages(messages: Iterable[BoxWord | SeenCrashes]) -> Iterator[bytes]:
+    """Return messages in as few datagrams as hold them."""
     datagram = b""
-    for word in words:
-        packed = pack_word(word)
+    for message in messages:
+        packed = pack_word(message) if isinstance(message, BoxWord) else pack_crashes(message)
         if datagram and len(datagram) + len(packed) > _DATAGRAM_MOST:
             yield datagram
             datagram = b""
@@ -129,13 +135,14 @@
         word.in_flight,
         tables,
         word.boxes,
+        word.crashes,
     ]
     packed: bytes = msgpack.packb(fields)
     return packed
 
 
-def unpack_words(data: bytes) -> list[BoxWord]:
-    """Return the words in a datagram.
+def unpack_messages(data: bytes) -> list[BoxWord | SeenCrashes]:
+    """Return the messages in a datagram.
 
     Raises
     ------
@@ -145,15 +152,21 @@
     unpacker = msgpack.Unpacker()
     unpacker.feed(data)
     try:
-        words = [_read_word(fields) for fields in unpacker]
+        messages = [_read_message(fields) for fields in unpacker]
         whole = unpacker.tell() == len(data)
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
-        msg = f"no word: {error}"
+        msg = f"no message: {error}"
         raise ProtocolError(msg) from None
-    if not words or not whole:
-        msg = f"no whole words in {len(data)} bytes"
+    if not messages or not whole:
+        msg = f"no whole messages in {len(data)} bytes"
         raise ProtocolError(msg)
-    return words
+    return messages
+
+
+def _read_message(fields: Any) -> BoxWord | SeenCrashes:  # noqa: ANN401 - checked here
+    if isinstance(fields, list) and fields and fields[0] == CRASHES_FORMAT:
+        return read_crashes(fields)
+    return _read_word(fields)
 
 
 def _read_word(fields: Any) -> BoxWord:  # noqa: ANN401 - checked here
@@ -175,6 +188,7 @@
         boxes={str(place): int(count) for place, count in fields[11].items()},
         tables={str(n): TableState(*map(int, state)) for n, state in fields[10].items()},
         wants_word=bool(wants),
+        crashes=None if fields[12] is None else int(fields[12]),
     )
 
 
--- a/dunlinnotch/protocol/outcome.py
+++ b/dunlinnotch/protocol/outcome.py
@@ -39,6 +39,7 @@
     CONNECT_FAILED = "connect-failed"
     TARGET_REFUSED = "target-refused"
     TARGET_BROKEN = "target-broken"
+    REQUEST_BARRED = "request-barred"
     CALLER_GONE = "caller-gone"
     NO_SETTINGS = "no-settings"
     CUT_OFF = "cut-off"
--- a/dunlinnotch/transport/stream/peers.py
+++ b/dunlinnotch/transport/stream/peers.py
@@ -8,7 +8,14 @@
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import BoxWord, pack_delta, pack_words, unpack_delta, unpack_words
+from dunlinnotch.protocol.crashes import SeenCrashes
+from dunlinnotch.protocol.mesh import (
+    BoxWord,
+    pack_delta,
+    pack_messages,
+    unpack_delta,
+    unpack_messages,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -27,15 +34,18 @@
 
 
 class WordPort(asyncio.DatagramProtocol):
-    """Send and receive words.
+    """Send and receive words, and evidence on requests.
 
     Parameters
     ----------
-    on_word : callable
+    on_word, on_crashes : callable
     """
 
-    def __init__(self, on_word: Callable[[BoxWord], None]) -> None:
+    def __init__(
+        self, on_word: Callable[[BoxWord], None], on_crashes: Callable[[SeenCrashes], None]
+    ) -> None:
         self._on_word = on_word
+        self._on_crashes = on_crashes
         self._transport: asyncio.DatagramTransport | None = None
         self.sent_bytes = 0
         self.bad = 0
@@ -46,23 +56,26 @@
         self._transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
-        """Take in words; anything else is counted."""
+        """Take in messages; anything else is counted."""
         try:
-            words = unpack_words(data)
+            messages = unpack_messages(data)
         except ProtocolError:
             self.bad += 1
             return
-        for word in words:
-            self._on_word(word)
+        for message in messages:
+            if isinstance(message, SeenCrashes):
+                self._on_crashes(message)
+            else:
+                self._on_word(message)
 
     def error_received(self, exc: Exception) -> None:
         """Do nothing: a peer that is not there is noticed by its silence."""
 
-    def send(self, words: Iterable[BoxWord], to: Iterable[Address]) -> None:
-        """Send words to some peers."""
+    def send(self, messages: Iterable[BoxWord | SeenCrashes], to: Iterable[Address]) -> None:
+        """Send messages to some peers."""
         if self._transport is None:
             return
-        datagrams = list(pack_words(words))
+        datagrams = list(pack_messages(messages))
         for address in to:
             host, _, port = address.rpartition(":")
             for data in datagrams:
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,198 @@
+"""Evidence on requests that end targets: the same at all boxes, whatever the order."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from benchmarks._boxes import Clock
+from dunlinnotch.errors import ProtocolError
+from dunlinnotch.protocol.crashes import (
+    as_ages,
+    from_ages,
+    pack_crashes,
+    read_crashes,
+    unpack_crashes,
+)
+from dunlinnotch.protocol.mesh import pack_messages, unpack_messages
+from dunlinnotch.state.crashes import (
+    BAR_AT,
+    KEEP_S,
+    REQUESTS_MOST,
+    TARGETS_MOST,
+    CrashLog,
+    Evidence,
+)
+
+
+def targets(count, first=0):
+    return [f"t{number}" for number in range(first, first + count)]
+
+
+def test_a_request_is_barred_by_its_third_target_and_tried_again_later():
+    clock = Clock()
+    log = CrashLog(clock=clock)
+    log.note_ended("r", targets(BAR_AT - 1))
+    assert log.barred_for("r") == 0
+    log.note_ended("r", ["t0"])
+    assert log.barred_for("r") == 0
+    clock.now += 5
+    log.note_ended("r", targets(1, BAR_AT))
+    assert log.barred_for("r") == KEEP_S - 5
+    assert log.barred == 1
+    assert log.barred_for("another") == 0
+    clock.now += KEEP_S - 5
+    assert log.barred_for("r") == 0
+    # One more is enough, as the youngest report still counts.
+    assert len(log.find("r").targets) <= BAR_AT
+
+
+def test_an_answer_takes_back_what_was_seen_before_it():
+    log = CrashLog(clock=Clock())
+    assert log.note_answered("r") is None
+    log.note_ended("r", targets(2))
+    log.note_answered("r")
+    log.note_ended("r", targets(2, 2))
+    assert log.barred_for("r") == 0
+    log.note_ended("r", targets(1, 4))
+    assert log.barred_for("r") == KEEP_S
+
+
+def test_an_answer_counts_also_where_it_is_heard_before_what_it_takes_back():
+    clock = Clock()
+    first, second = CrashLog(clock=clock), CrashLog(clock=clock)
+    seen = first.note_ended("r", targets(BAR_AT))
+    before = Evidence("r", targets=dict(seen.targets))
+    answered = first.note_answered("r")
+    second.merge(answered)
+    assert second.merge(before) is None
+    assert second.barred_for("r") == 0
+    assert first.digest == second.digest
+
+
+def test_what_is_remembered_is_bounded_and_bars_go_last():
+    clock = Clock()
+    log = CrashLog(clock=clock)
+    log.note_ended("worst", targets(BAR_AT))
+    for number in range(2 * REQUESTS_MOST):
+        clock.now += 0.01
+        log.note_ended(f"r{number}", targets(1))
+    assert len(list(log)) == REQUESTS_MOST
+    assert log.barred_for("worst") > 0
+    log.note_ended("worst", targets(3 * TARGETS_MOST))
+    assert len(log.find("worst").targets) == TARGETS_MOST
+
+
+def test_nothing_lapsed_is_taken_in_anew():
+    clock = Clock()
+    log = CrashLog(clock=clock)
+    assert log.merge(Evidence("r", targets={"t": clock.now - KEEP_S})) is None
+    assert log.digest == 0
+
+
+def test_evidence_survives_the_datagram_by_ages():
+    clock = Clock()
+    log = CrashLog(clock=clock)
+    seen = log.note_ended("r", targets(2))
+    clock.now += 1.5
+    message = as_ages(seen, clock.now)
+    assert message.targets == {"t0": 1500, "t1": 1500}
+    (data,) = pack_messages([message, message])
+    assert unpack_messages(data) == [message, message]
+    assert from_ages(message, 100.0).targets == {"t0": 98.5, "t1": 98.5}
+    assert unpack_crashes(pack_crashes(message)) == message
+
+
+def test_nobody_sees_the_future():
+    message = read_crashes(["ended-1", "r", 0, 0, {"t": -5000}])
+    assert from_ages(message, 100.0).targets == {"t": 100.0}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        None,
+        [],
+        ["ended-1", "r", 0, 0],
+        ["ended-1", 5, 0, 0, {}],
+        ["ended-1", "r", -1, 0, {}],
+        ["ended-1", "r", 0, "0", {}],
+        ["ended-1", "r", 0, 0, []],
+        ["ended-1", "r", 0, 0, {"t": "1"}],
+        ["ended-1", "r", 0, 0, {5: 1}],
+    ],
+)
+def test_evidence_of_another_shape_is_refused(fields):
+    with pytest.raises(ProtocolError):
+        read_crashes(fields)
+
+
+@given(st.binary(max_size=60))
+def test_noise_is_no_evidence(data):
+    try:
+        seen = unpack_crashes(data)
+    except ProtocolError:
+        return
+    assert isinstance(seen.request, str)
+
+
+class Boxes(RuleBasedStateMachine):
+    """Boxes see targets end and requests answered, and tell each other in any order."""
+
+    @initialize(seed=st.integers(0, 100))
+    def begin(self, seed):
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.logs = [CrashLog(clock=self.clock) for _ in range(3)]
+        self.told = []
+
+    @rule(box=st.integers(0, 2), request=st.sampled_from("rs"), number=st.integers(0, 9))
+    def ended(self, box, request, number):
+        self._tell(self.logs[box].note_ended(request, [f"t{number}"]))
+
+    @rule(box=st.integers(0, 2), request=st.sampled_from("rs"))
+    def answered(self, box, request):
+        self._tell(self.logs[box].note_answered(request))
+
+    @rule(box=st.integers(0, 2), which=st.integers(0, 1000))
+    def hear(self, box, which):
+        if self.told:
+            message, at = self.told[which % len(self.told)]
+            # It was on its way meanwhile, so it looks younger than it is.
+            self.logs[box].merge(from_ages(message, max(at, self.clock.now - 1)))
+
+    @rule(seconds=st.floats(0, 5))
+    def wait(self, seconds):
+        self.clock.now += seconds
+
+    def _tell(self, evidence):
+        if evidence is not None:
+            self.told.append((as_ages(evidence, self.clock.now), self.clock.now))
+
+    @invariant()
+    def boxes_with_one_digest_judge_alike(self):
+        if not hasattr(self, "logs"):
+            return
+        for log in self.logs:
+            if log.digest == self.logs[0].digest:
+                for request in "rs":
+                    barred = log.barred_for(request) > 0
+                    assert barred == (self.logs[0].barred_for(request) > 0)
+
+    def teardown(self):
+        """Whoever hears all ends up with the same as all others."""
+        if not hasattr(self, "logs"):
+            return
+        for log in self.logs:
+            everything = [from_ages(m, at) for m, at in self.told]
+            self.rng.shuffle(everything)
+            for evidence in everything:
+                log.merge(evidence)
+        assert len({log.digest for log in self.logs}) == 1
+
+
+TestBoxes = Boxes.TestCase
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -114,6 +114,20 @@
     run(test)
 
 
+def test_what_ran_at_its_first_target_is_not_called_not_run_when_the_next_refuses():
+    async def test():
+        async with stream_world(workers=0) as world:
+            worker = await world.add_worker()
+            box = world.boxes[0]
+            await until(lambda: box.instances.of("loans"))
+            # It ends under the request, so the repeat does not even reach it.
+            worker.settings.ends_under = lambda path: True
+            assert (await call(box, "/read/", "ran")).status == 502
+            assert world.ran == ["ran"]
+
+    run(test)
+
+
 def test_a_target_that_ended_is_told_apart_from_one_that_broke_off_an_answer(caplog):
     async def test():
         async with stream_world(workers=0) as world:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -17,7 +17,7 @@
     Mesh,
 )
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import pack_delta, pack_words, unpack_delta, unpack_words
+from dunlinnotch.protocol.mesh import pack_delta, pack_messages, unpack_delta, unpack_messages
 from dunlinnotch.state.followed import FollowedTable, TableDelta, TableRow
 
 
@@ -43,15 +43,15 @@
 def test_words_survive_the_datagram():
     mesh, _ = box("a", Clock())
     word = mesh.own_word(wants_word=True)
-    assert [unpack_words(data) for data in pack_words([word, word])] == [[word, word]]
+    assert [unpack_messages(data) for data in pack_messages([word, word])] == [[word, word]]
 
 
 @pytest.mark.parametrize(
-    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x01", pack_words.__doc__.encode()]
+    "data", [b"", b"\xc1", b"\x93\x01\x02\x03", b"\x01", pack_messages.__doc__.encode()]
 )
 def test_noise_is_no_word(data):
     with pytest.raises(ProtocolError):
-        unpack_words(data)
+        unpack_messages(data)
 
 
 def test_deltas_survive_the_stream():
