Know a request again by content or origin; count targets that end in turn

Suspected, not proved. - evidence above a bound was dropped by age, came back from peers as new and was passed on, without end. Change: two fingerprints, content (any caller) and origin (any query). Only evidence that decides something (barred, or answered) is in the digest and is sent again; of it all boxes drop the same. Targets count only if the next had the request after the one before had ended: a loss of power would else bar what many callers ask for. A bar lasts 120 s, doubled by each further target, 600 s at most.

--- a/dunlinnotch/_logs.py
+++ b/dunlinnotch/_logs.py
@@ -15,8 +15,8 @@
 
 #: Attribute of a log record that carries the structured fields.
 FIELDS = "fields"
-#: Events of which there is one for each routing or placement decision.
-DECISIONS = frozenset({"route", "refused", "addresses", "probe"})
+#: Events of which there may be one for each request: they are bounded.
+DECISIONS = frozenset({"route", "refused", "addresses", "probe", "evidence"})
 
 _ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
 
--- a/dunlinnotch/coordination/membership/crash_news.py
+++ b/dunlinnotch/coordination/membership/crash_news.py
@@ -1,10 +1,10 @@
 """Keep alike, at all boxes, what was seen of requests that end their targets.
 
 What a box sees goes at once to a few peers, which pass on what is new to them.  Each
-word of a box carries the digest of its evidence; whoever hears another digest than its
-own sends all that it has.  Requests that are barred are also kept in the platform's
-store, for boxes that find no peer to tell them: after all were lost, or cut off from
-the rest.
+word of a box carries the digest of the evidence that decides something; whoever hears
+another digest than its own sends all that it has of this.  Requests that are barred are
+also kept in the platform's store, for boxes that find no peer to tell them: after all
+were lost, or cut off from the rest.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from dunlinnotch.coordination.membership.mesh import Mesh
     from dunlinnotch.protocol.mesh import BoxWord
@@ -40,8 +40,8 @@
 
 #: Our own table in the platform's store: a row for each barred request.
 TABLE = "requests-that-end-targets"
-#: All evidence is sent to a peer that holds other evidence at most once in so long, in
-#: seconds: what is new reaches most boxes by themselves meanwhile.
+#: All that decides something is sent to a peer that holds other evidence at most once in
+#: so long, in seconds: what is new reaches most boxes by itself meanwhile.
 _REPAIR_S = 0.8
 #: Time between two looks whether the store is to be read or written, in seconds.
 _LOOK_S = 0.1
@@ -101,17 +101,16 @@
 
     # -- to and from peers
 
-    def tell(self, evidence: Evidence) -> None:
+    def tell(self, seen: Sequence[Evidence]) -> None:
         """Tell peers what this box has seen itself."""
-        self._changed(evidence)
-        if len(evidence.targets) >= BAR_AT:
-            self._to_keep.add(evidence.request)
+        self._changed(seen)
+        self._to_keep.update(e.request for e in seen if e.in_turn >= BAR_AT)
 
     def take(self, seen: SeenCrashes) -> None:
         """Take in what a peer tells; pass it on if it is new."""
         evidence = self._evidence.merge(from_ages(seen, self._evidence.now))
         if evidence is not None:
-            self._changed(evidence)
+            self._changed([evidence])
 
     def heard(self, word: BoxWord) -> None:
         """Compare a peer's evidence with this box's own."""
@@ -120,26 +119,28 @@
             self._now_known()
             return
         last = self._told_all_at.get(word.name, -math.inf)
-        if len(self._evidence) and self._evidence.now - last > _REPAIR_S:
+        if self._evidence.settled and self._evidence.now - last > _REPAIR_S:
             self._told_all_at[word.name] = self._evidence.now
-            self._send(self._all(), [word.peer])
+            self._send(self._settled(), [word.peer])
 
-    def _all(self) -> list[SeenCrashes]:
+    def _settled(self) -> list[SeenCrashes]:
         now = self._evidence.now
-        return [as_ages(evidence, now) for evidence in self._evidence]
-
-    def _changed(self, evidence: Evidence) -> None:
-        event(
-            _log,
-            "evidence",
-            fingerprint=evidence.request,
-            targets=sorted(evidence.targets),
-            answers=evidence.answers,
-            barred_for_s=round(self._evidence.barred_for(evidence.request), 1),
-        )
+        return [as_ages(evidence, now) for evidence in self._evidence.settled]
+
+    def _changed(self, new: Sequence[Evidence]) -> None:
+        """Log what is new, and pass it on."""
+        for evidence in new:
+            event(
+                _log,
+                "evidence",
+                known_by=evidence.request,
+                targets=sorted(evidence.targets),
+                answers=evidence.answers,
+                barred_for_s=round(self._evidence.barred_for(evidence.request), 1),
+            )
         self._publish()
         peers = {*self._mesh.to_tell_news(), *self._mesh.to_tell_far()}
-        self._send([as_ages(evidence, self._evidence.now)], peers)
+        self._send([as_ages(evidence, self._evidence.now) for evidence in new], peers)
 
     def _publish(self) -> None:
         """Put the digest into the words of this box."""
@@ -148,7 +149,7 @@
     def _now_known(self) -> None:
         if not self.known:
             self.known = True
-            event(_log, "evidence-known", requests=len(self._evidence))
+            event(_log, "evidence-known", requests=len(self._evidence.settled))
         self._publish()
 
     # -- to and from the store
@@ -178,10 +179,10 @@
         return await self._store.read_rows(TABLE)
 
     def _take_rows(self, read: RowsRead) -> None:
-        for evidence in self._kept(read).values():
-            merged = self._evidence.merge(evidence)
-            if merged is not None:
-                self._changed(merged)
+        merged = [self._evidence.merge(evidence) for evidence in self._kept(read).values()]
+        new = [evidence for evidence in merged if evidence is not None]
+        if new:
+            self._changed(new)
         self._now_known()
 
     def _kept(self, read: RowsRead) -> dict[str, Evidence]:
@@ -202,7 +203,7 @@
         self._take_rows(read)
         own = self._evidence.find(request)
         kept = self._kept(read)
-        if own is None or len(own.targets) < BAR_AT or _covers(kept.get(request), own):
+        if own is None or own.in_turn < BAR_AT or _covers(kept.get(request), own):
             self._to_keep.discard(request)
             return
         versions = {row.key: row.version for row in read.rows}
@@ -214,7 +215,7 @@
         change = RowsChange(TABLE, expected, {request: value}, tuple(lapsed))
         if await self._store.change_rows(change):
             self._to_keep.discard(request)
-            event(_log, "evidence-kept", fingerprint=request, removed=len(lapsed))
+            event(_log, "evidence-kept", known_by=request, removed=len(lapsed))
 
     @property
     def _oldest(self) -> Seconds:
@@ -222,24 +223,15 @@
 
 
 def _covers(kept: Evidence | None, own: Evidence) -> bool:
-    """Return whether what is kept bars a request as what this box holds does."""
-    return kept is not None and kept.answers == own.answers and len(kept.targets) >= BAR_AT
+    """Return whether what is kept bars a request for as long as what this box holds does."""
+    return kept is not None and kept.answers == own.answers and kept.in_turn >= own.in_turn
 
 
 def _by_store(evidence: Evidence, read: RowsRead, now: Seconds) -> SeenCrashes:
     """Return evidence with times of the store's clock."""
-    ages = as_ages(evidence, now)
-    at = round(read.now * 1000)
-    return SeenCrashes(
-        ages.request,
-        ages.answers,
-        at - ages.answered_ms if ages.answers else 0,
-        {target: at - age for target, age in ages.targets.items()},
-    )
+    return as_ages(evidence, now).counted_from(round(read.now * 1000))
 
 
 def _by_clock(kept: SeenCrashes, read: RowsRead, now: Seconds) -> Evidence:
     """Return kept evidence with times of this box's clock."""
-    at = round(read.now * 1000)
-    ages = {target: at - seen for target, seen in kept.targets.items()}
-    return from_ages(SeenCrashes(kept.request, kept.answers, at - kept.answered_ms, ages), now)
+    return from_ages(kept.counted_from(round(read.now * 1000)), now)
--- a/dunlinnotch/coordination/requests/crash_guard.py
+++ b/dunlinnotch/coordination/requests/crash_guard.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
-from dunlinnotch.state.crashes import BAR_AT, KEEP_S
+from dunlinnotch.state.crashes import Span
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping, Sequence
 
+    from dunlinnotch.coordination.requests.fingerprint import Fingerprint
     from dunlinnotch.protocol.relay import CallerRequest, TargetPort
     from dunlinnotch.state.crashes import CrashLog, Evidence
     from dunlinnotch.state.instances import Instance
@@ -24,14 +25,14 @@
 
     Parameters
     ----------
-    fingerprint : str
+    fingerprint : Fingerprint
     """
 
     __slots__ = ("ended", "fingerprint")
 
-    def __init__(self, fingerprint: str) -> None:
+    def __init__(self, fingerprint: Fingerprint) -> None:
         self.fingerprint = fingerprint
-        self.ended: set[str] = set()
+        self.ended: dict[str, Span] = {}
 
 
 class CrashGuard:
@@ -42,7 +43,7 @@
     log : CrashLog
     targets : TargetPort
     tell : callable
-        Is given evidence that this box has seen and others have not.
+        Is given the evidence that this box has seen and others have not.
 
     Attributes
     ----------
@@ -51,7 +52,7 @@
     """
 
     def __init__(
-        self, log: CrashLog, targets: TargetPort, *, tell: Callable[[Evidence], None]
+        self, log: CrashLog, targets: TargetPort, *, tell: Callable[[Sequence[Evidence]], None]
     ) -> None:
         self._evidence = log
         self._targets = targets
@@ -60,18 +61,29 @@
 
     def barred_for(self, suspect: Suspect) -> Seconds:
         """Return how long a request is to be sent to no target; 0 if it may be sent."""
-        known = self._evidence.barred_for(suspect.fingerprint)
-        if known or not suspect.ended:
-            return known
-        seen = self._evidence.find(suspect.fingerprint)
-        ended = suspect.ended if seen is None else suspect.ended.union(seen.targets)
-        return KEEP_S if len(ended) >= BAR_AT else 0.0
-
-    async def look(self, suspect: Suspect, request: CallerRequest, instance: Instance) -> None:
-        """Note if a target that broke off a request has ended."""
+        if not suspect.ended:
+            return max(self._evidence.barred_for(key) for key in suspect.fingerprint)
+        now = self._evidence.now
+        known = [self._evidence.with_ended(key, suspect.ended) for key in suspect.fingerprint]
+        return max(evidence.barred_for(now) for evidence in known)
+
+    async def look(
+        self, suspect: Suspect, request: CallerRequest, instance: Instance, *, took: Seconds
+    ) -> None:
+        """Note if a target that broke off a request has ended.
+
+        Parameters
+        ----------
+        suspect : Suspect
+        request : CallerRequest
+        instance : Instance
+        took : float
+            Seconds for which the target had the request.
+        """
+        ended = self._evidence.now
         if not await self._targets.has_ended(instance.address):
             return
-        suspect.ended.add(instance.name)
+        suspect.ended[instance.name] = Span(ended - took, ended)
         self.targets_ended += 1
         event(
             _log,
@@ -80,7 +92,8 @@
             service=instance.listed.service,
             target=instance.address,
             request=request.request_id,
-            fingerprint=suspect.fingerprint,
+            content=suspect.fingerprint.content,
+            origin=suspect.fingerprint.origin,
         )
 
     def finished(self, suspect: Suspect, *, answered: bool) -> None:
@@ -93,11 +106,14 @@
         repeatable requests whose first target ended (10 s of logs of a service with such a
         request), 35 were answered by their second.
         """
+        ends = [
+            self._note_end(key, suspect.ended, answered=answered) for key in suspect.fingerprint
+        ]
+        new = [evidence for evidence in ends if evidence is not None]
+        if new:
+            self._tell(new)
+
+    def _note_end(self, key: str, ended: Mapping[str, Span], *, answered: bool) -> Evidence | None:
         if answered:
-            evidence = self._evidence.note_answered(suspect.fingerprint)
-        elif suspect.ended:
-            evidence = self._evidence.note_ended(suspect.fingerprint, suspect.ended)
-        else:
-            return
-        if evidence is not None:
-            self._tell(evidence)
+            return self._evidence.note_answered(key)
+        return self._evidence.note_ended(key, ended) if ended else None
--- a/dunlinnotch/coordination/requests/fingerprint.py
+++ b/dunlinnotch/coordination/requests/fingerprint.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
@@ -10,24 +10,45 @@
     from dunlinnotch.protocol.relay import CallerRequest
 
 
-def fingerprint(request: CallerRequest, body: bytes | bytearray) -> str:
-    """Return a text that is equal for equal requests of one caller.
+class Fingerprint(NamedTuple):
+    """Two texts of 32 hexadecimal digits by which a request is known again.
+
+    Parameters
+    ----------
+    content : str
+        Equal for requests of any caller with the same method, host, path, query and body.
+    origin : str
+        Equal for requests of one caller with the same method, host, path and body,
+        whatever their query.
+
+    Notes
+    -----
+    Ids, other headers, and whether a body comes in chunks change between attempts.
+    """
+
+    content: str
+    origin: str
+
+
+def fingerprint(request: CallerRequest, body: bytes | bytearray) -> Fingerprint:
+    """Return by what a request is known again.
 
     Parameters
     ----------
     request : CallerRequest
-        Caller, method, host, path with query and stated length count; its id and other
-        headers, which change with each attempt, do not.
     body : bytes-like
         The body, or the part of it that is held.
-
-    Returns
-    -------
-    str
-        32 hexadecimal digits.
     """
-    told = f"{request.caller}\0{request.method}\0{request.host}\0{request.path}\0{request.length}\0"
-    hasher = xxhash.xxh3_128(told.encode("utf-8", "surrogateescape"))
+    host = request.host.lower()
+    path = request.path.partition("?")[0]
+    return Fingerprint(
+        _digits(("content", request.method, host, request.path), body),
+        _digits(("origin", request.caller, request.method, host, path), body),
+    )
+
+
+def _digits(parts: tuple[str, ...], body: bytes | bytearray) -> str:
+    hasher = xxhash.xxh3_128("\0".join(parts).encode("utf-8", "surrogateescape") + b"\0")
     hasher.update(body)
     digits: str = hasher.hexdigest()
     return digits
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -17,7 +17,7 @@
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.requests.bodies import HeldBody
 from dunlinnotch.coordination.requests.crash_guard import Suspect
-from dunlinnotch.coordination.requests.fingerprint import fingerprint
+from dunlinnotch.coordination.requests.fingerprint import Fingerprint, fingerprint
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
 from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
@@ -105,7 +105,7 @@
     body: HeldBody
     reply: ReplyPort
     point: float
-    suspect: Suspect = field(default_factory=lambda: Suspect(""))
+    suspect: Suspect = field(default_factory=lambda: Suspect(Fingerprint("", "")))
     kind: RequestKind | None = None
     service: str = ""
     version: int = 0
@@ -411,9 +411,14 @@
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
         if end.reason is not Reason.BODY_BROKEN:
             self._chooser.failed(instance, now)
-            await self._guard.look(run.suspect, run.request, instance)
+            await self._look_for_end(run, instance)
         return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
 
+    async def _look_for_end(self, run: _Run, instance: Instance) -> None:
+        """Have the guard note it if the target of the last try has ended."""
+        took = self._loop.time() - run.tries[-1].began
+        await self._guard.look(run.suspect, run.request, instance, took=took)
+
     @staticmethod
     def _ran_before(run: _Run) -> bool:
         """Return whether an attempt before the last one may have run."""
@@ -447,7 +452,7 @@
         except BodyCutError as error:
             self._chooser.failed(instance, self._loop.time())
             run.tries[-1].end = "cut"
-            await self._guard.look(run.suspect, run.request, instance)
+            await self._look_for_end(run, instance)
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
@@ -493,7 +498,8 @@
             "route",
             request=run.request.request_id,
             caller=run.request.caller,
-            fingerprint=run.suspect.fingerprint,
+            content=run.suspect.fingerprint.content,
+            origin=run.suspect.fingerprint.origin,
             kind=kind,
             service=run.service,
             version=run.version,
--- a/dunlinnotch/protocol/crashes.py
+++ b/dunlinnotch/protocol/crashes.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgpack
 
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.state.crashes import Evidence
+from dunlinnotch.state.crashes import Evidence, Span
 
 if TYPE_CHECKING:
     from dunlinnotch.types import Seconds
@@ -19,6 +19,13 @@
 _FIELDS = 5
 
 
+class SeenSpan(NamedTuple):
+    """See :class:`~dunlinnotch.state.crashes.Span`; in milliseconds."""
+
+    began: int
+    ended: int
+
+
 @dataclass(frozen=True, slots=True)
 class SeenCrashes:
     """Evidence on one request, as it travels.
@@ -28,7 +35,7 @@
     request : str
     answers : int
     answered_ms : int
-    targets : dict of str to int
+    targets : dict of str to SeenSpan
         See :class:`~dunlinnotch.state.crashes.Evidence`.  Between boxes, times are ages
         in milliseconds, as each box has a clock of its own; in the store they are
         milliseconds of the store's clock.
@@ -37,7 +44,15 @@
     request: str
     answers: int
     answered_ms: int
-    targets: dict[str, int]
+    targets: dict[str, SeenSpan]
+
+    def counted_from(self, moment_ms: int) -> SeenCrashes:
+        """Return each time as the distance to a moment: moments from ages, or the reverse."""
+        spans = {
+            target: SeenSpan(moment_ms - span.began, moment_ms - span.ended)
+            for target, span in self.targets.items()
+        }
+        return replace(self, answered_ms=moment_ms - self.answered_ms, targets=spans)
 
 
 def as_ages(evidence: Evidence, now: Seconds) -> SeenCrashes:
@@ -52,8 +67,11 @@
     return SeenCrashes(
         evidence.request,
         evidence.answers,
-        round((now - evidence.answered_at) * 1000) if evidence.answers else 0,
-        {target: round((now - at) * 1000) for target, at in evidence.targets.items()},
+        _ms(now - evidence.answered_at) if evidence.answers else 0,
+        {
+            target: SeenSpan(_ms(now - span.began), _ms(now - span.ended))
+            for target, span in evidence.targets.items()
+        },
     )
 
 
@@ -62,11 +80,22 @@
     return Evidence(
         seen.request,
         seen.answers,
-        now - max(0, seen.answered_ms) / 1000 if seen.answers else -math.inf,
-        {target: now - max(0, age) / 1000 for target, age in seen.targets.items()},
+        _moment(now, seen.answered_ms) if seen.answers else -math.inf,
+        {
+            target: Span(_moment(now, span.began), _moment(now, span.ended))
+            for target, span in seen.targets.items()
+        },
     )
 
 
+def _ms(seconds: Seconds) -> int:
+    return round(seconds * 1000)
+
+
+def _moment(now: Seconds, age_ms: int) -> Seconds:
+    return now - max(0, age_ms) / 1000
+
+
 def pack_crashes(seen: SeenCrashes) -> bytes:
     """Return evidence as bytes."""
     fields = [CRASHES_FORMAT, seen.request, seen.answers, seen.answered_ms, seen.targets]
@@ -102,13 +131,18 @@
         raise ProtocolError(msg)
     _, request, answers, answered_ms, targets, *_rest = fields
     whole = isinstance(answers, int) and isinstance(answered_ms, int) and answers >= 0
-    if not isinstance(request, str) or not whole or not _are_times(targets):
+    if not isinstance(request, str) or not whole or not _are_spans(targets):
         msg = f"evidence of the wrong types: {fields!r:.80}"
         raise ProtocolError(msg)
-    return SeenCrashes(request, answers, answered_ms, targets)
+    spans = {target: SeenSpan(*span) for target, span in targets.items()}
+    return SeenCrashes(request, answers, answered_ms, spans)
 
 
-def _are_times(targets: object) -> bool:
+def _are_spans(targets: object) -> bool:
     return isinstance(targets, dict) and all(
-        isinstance(target, str) and isinstance(at, int) for target, at in targets.items()
+        isinstance(target, str) and _is_span(span) for target, span in targets.items()
     )
+
+
+def _is_span(span: object) -> bool:
+    return isinstance(span, list) and len(span) == 2 and all(isinstance(at, int) for at in span)
--- a/dunlinnotch/state/crashes.py
+++ b/dunlinnotch/state/crashes.py
@@ -4,25 +4,42 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Mapping
 
     from dunlinnotch.types import Clock, Seconds
 
-#: A request under which so many targets have ended is sent to no other: fewer end by
-#: chance under requests that only were at the same targets.
+#: A request that ended so many targets, one after the other, is sent to no other: fewer
+#: end by chance under requests that only were at the same targets.
 BAR_AT = 3
-#: What was seen counts for so long, in seconds: targets are mended or replaced by a
-#: release, and then the request is tried again.
-KEEP_S = 600.0
-#: Requests remembered; those that are barred are forgotten last.
-REQUESTS_MOST = 256
-#: Targets remembered for one request.
-TARGETS_MOST = 8
+#: How long a request is barred after its third target, and at most, in seconds; each
+#: further target doubles it.  Targets may have been mended meanwhile, so it is tried again.
+BAR_FIRST_S = 120.0
+BAR_MOST_S = 600.0
+#: What was seen counts for so long, in seconds: longer than any bar.
+KEEP_S = 1800.0
+#: Requests remembered that are barred, or were answered after targets had ended.
+SETTLED_MOST = 256
+#: Other requests remembered: twice as many are let grow before the oldest are dropped.
+_OPEN_MOST = 256
+_SWEEP_AT = SETTLED_MOST + 2 * _OPEN_MOST
+#: Time between two sweeps, in seconds.
+_SWEEP_S = 1.0
+#: Times told between boxes are rounded to this, in seconds, each way.
+_ROUNDING_S = 0.002
+#: Targets remembered for one request: more than the longest bar needs.
+TARGETS_MOST = 16
+
+
+class Span(NamedTuple):
+    """From when until when a target had a request under which it ended."""
+
+    began: Seconds
+    ended: Seconds
 
 
 @dataclass(slots=True)
@@ -32,13 +49,13 @@
     Parameters
     ----------
     request : str
-        The request's fingerprint.
+        One of the texts by which the request is known again.
     answers : int, default 0
         How often a target answered it after others had ended under it.
     answered_at : float, default -inf
         When it was last answered so.
-    targets : dict of str to float
-        Starts of targets that ended under it since, and when that was seen.
+    targets : dict of str to Span
+        Starts of targets that ended under it since.
 
     Notes
     -----
@@ -48,19 +65,45 @@
     request: str
     answers: int = 0
     answered_at: Seconds = -math.inf
-    targets: dict[str, Seconds] = field(default_factory=dict)
+    targets: dict[str, Span] = field(default_factory=dict)
 
     @property
     def last_at(self) -> Seconds:
         """When something was last seen of it."""
-        return max((self.answered_at, *self.targets.values()))
+        return max((self.answered_at, *(span.ended for span in self.targets.values())))
+
+    @property
+    def in_turn(self) -> int:
+        """How many targets ended one after the other.
+
+        Notes
+        -----
+        Targets that had the request at the same time count as one: where many end at
+        once, by a loss of power, a request that many callers send is at all of them.
+        """
+        count, last = 0, -math.inf
+        for span in sorted(self.targets.values(), key=_by_end):
+            if span.began >= last - _ROUNDING_S:
+                count, last = count + 1, span.ended
+        return count
 
     @property
     def barred_until(self) -> Seconds:
-        """Until when the request is to be sent to no target; 0 if it may be sent."""
-        if len(self.targets) < BAR_AT:
-            return 0.0
-        return sorted(self.targets.values())[-BAR_AT] + KEEP_S
+        """Until when the request is to be sent to no target; -inf if it may be sent."""
+        beyond = self.in_turn - BAR_AT
+        if beyond < 0:
+            return -math.inf
+        last = max(span.ended for span in self.targets.values())
+        return last + min(BAR_MOST_S, BAR_FIRST_S * float(2**beyond))
+
+    def barred_for(self, now: Seconds) -> Seconds:
+        """Return how long the request is to be sent to no target; 0 if it may be sent."""
+        return max(0.0, self.barred_until - now)
+
+    @property
+    def settled(self) -> bool:
+        """Whether it decides something: a request is barred, or it was answered."""
+        return self.answers > 0 or self.in_turn >= BAR_AT
 
     @property
     def digest(self) -> int:
@@ -76,19 +119,22 @@
             self.answers, self.answered_at = other.answers, other.answered_at
             self.targets = dict(other.targets)
             return True
+        before = set(self.targets)
         union = {**other.targets, **self.targets}
-        # Whatever the order of arrival, the same ones are kept.
-        kept = sorted(union)[:TARGETS_MOST]
-        changed = set(kept) != set(self.targets)
-        self.targets = {target: union[target] for target in kept}
-        return changed
+        youngest = sorted(union, key=lambda target: union[target].ended)[-TARGETS_MOST:]
+        self.targets = {target: union[target] for target in youngest}
+        return set(youngest) != before
 
     def forget(self, before: Seconds) -> None:
         """Drop what was seen before a moment."""
-        for target in [target for target, at in self.targets.items() if at <= before]:
+        for target in [t for t, span in self.targets.items() if span.ended <= before]:
             del self.targets[target]
 
 
+def _by_end(span: Span) -> Seconds:
+    return span.ended
+
+
 class CrashLog:
     """The evidence of all boxes; boxes that hold the same judge alike.
 
@@ -106,31 +152,33 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._seen: dict[str, Evidence] = {}
+        self._swept_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._seen)
 
-    def __iter__(self) -> Iterator[Evidence]:
-        """Yield the evidence that still counts."""
-        self._forget()
-        return iter(list(self._seen.values()))
-
     @property
     def now(self) -> Seconds:
         """The time by which evidence is dated."""
         return self._clock()
 
+    @property
+    def settled(self) -> list[Evidence]:
+        """The evidence that bars a request, or takes back what others may hold."""
+        now = self._clock()
+        return [e for e in self._seen.values() if e.settled and e.last_at > now - KEEP_S]
+
     @property
     def barred(self) -> int:
         """How many requests are to be sent to no target."""
         now = self._clock()
-        return sum(evidence.barred_until > now for evidence in self)
+        return sum(evidence.barred_until > now for evidence in self._seen.values())
 
     @property
     def digest(self) -> int:
-        """A number that is equal where two boxes hold the same evidence; 0 for none."""
+        """A number that is equal where two boxes bar the same requests for the same reasons."""
         digest = 0
-        for evidence in self:
+        for evidence in self.settled:
             digest ^= evidence.digest
         return digest
 
@@ -138,12 +186,17 @@
         """Return the evidence on a request."""
         return self._seen.get(request)
 
-    def note_ended(self, request: str, targets: Iterable[str]) -> Evidence | None:
+    def note_ended(self, request: str, targets: Mapping[str, Span]) -> Evidence | None:
         """Note targets that ended under a request; return the evidence if it is new."""
+        return self.merge(self.with_ended(request, targets))
+
+    def with_ended(self, request: str, targets: Mapping[str, Span]) -> Evidence:
+        """Return what would be known with further targets, without noting them."""
         known = self._seen.get(request)
-        answers = 0 if known is None else known.answers
-        now = self._clock()
-        return self.merge(Evidence(request, answers, targets=dict.fromkeys(targets, now)))
+        evidence = Evidence(request, 0 if known is None else known.answers, targets=dict(targets))
+        if known is not None:
+            evidence.merge(known)
+        return evidence
 
     def note_answered(self, request: str) -> Evidence | None:
         """Note that a target answered a request; return the evidence if that is new."""
@@ -154,29 +207,37 @@
 
     def merge(self, other: Evidence) -> Evidence | None:
         """Take in evidence; return all that is known of its request if some was new."""
-        self._forget()
-        if other.last_at <= self._clock() - KEEP_S:
+        now = self._clock()
+        if other.last_at <= now - KEEP_S:
             return None
-        known = self._seen.get(other.request)
-        if known is None:
-            known = self._seen[other.request] = Evidence(other.request)
-        return known if known.merge(other) else None
+        if now - self._swept_at >= _SWEEP_S or len(self._seen) >= _SWEEP_AT:
+            self._sweep(now)
+        known = self._seen.get(other.request) or Evidence(other.request)
+        if not known.merge(other):
+            return None
+        self._seen[other.request] = known
+        return known
 
     def barred_for(self, request: str) -> Seconds:
         """Return how long a request is to be sent to no target; 0 if it may be sent."""
         known = self._seen.get(request)
-        return 0.0 if known is None else max(0.0, known.barred_until - self._clock())
+        return 0.0 if known is None else known.barred_for(self._clock())
+
+    def _sweep(self, now: Seconds) -> None:
+        """Drop what has lapsed, and what is too much.
 
-    def _forget(self) -> None:
-        """Drop what has lapsed, and the oldest where there is too much."""
-        oldest = self._clock() - KEEP_S
+        Notes
+        -----
+        Of settled evidence all boxes drop the same: what one dropped by its age would come
+        back from the others.  The rest is passed on only where it is new.
+        """
+        self._swept_at = now
         for request, evidence in list(self._seen.items()):
-            evidence.forget(oldest)
-            if evidence.last_at <= oldest:
+            evidence.forget(now - KEEP_S)
+            if evidence.last_at <= now - KEEP_S:
                 del self._seen[request]
-        while len(self._seen) > REQUESTS_MOST:
-            del self._seen[min(self._seen.values(), key=_worth_keeping).request]
-
-
-def _worth_keeping(evidence: Evidence) -> tuple[bool, Seconds]:
-    return (evidence.barred_until > 0, evidence.last_at)
+        settled = sorted(r for r, e in self._seen.items() if e.settled)
+        others = [e for e in self._seen.values() if not e.settled]
+        others.sort(key=lambda evidence: evidence.last_at, reverse=True)
+        for request in (*settled[SETTLED_MOST:], *(e.request for e in others[_OPEN_MOST:])):
+            del self._seen[request]
