A box that was suspended counts that time, and waits for news before it acts

Cause: the event loop's clock (CLOCK_MONOTONIC) stands still while a box is suspended, so deadlines, reports, knowledge of targets and peers looked as fresh on waking as when it stopped; a target that left meanwhile was sent requests (test_wake.py: the request before anybody told the box anything). Change: the loop of an entry box tells CLOCK_BOOTTIME, so all that rests on age counts the time; a box that stood still over 0.5 s and whose tables are older than they ever are while it runs (2.2 s) refuses as not run, is not ready and gives no addresses until they are renewed, for 1 s at most (then store and peers are away, which stops no box). Ruled out: waiting for tables verified after the waking, which takes up to 2 s by the readers' calls of 1.0 to 1.5 s and would refuse all that time. Left: the daemon on threads still has time.monotonic (daemon/box.py), as its transports must agree with it.

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -297,6 +297,7 @@
         forwarder = Forwarder(
             routes=lambda: table,
             age=lambda: 0.0,
+            catching_up=lambda: False,
             instances=instances,
             chooser=chooser,
             times=times,
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -46,7 +46,7 @@
 _WAIT_SHARE = 0.2
 #: When to come back, at least, in seconds.
 _COME_BACK_S = 0.05
-#: When to come back to a box that knows no settings yet, in seconds.
+#: When to come back to a box that does not know yet what is in force, in seconds.
 _COME_BACK_UNKNOWING_S = 0.3
 
 _log = logging.getLogger(__name__)
@@ -134,6 +134,8 @@
         Returns the route table in force, or None while none is known.
     age : callable
         Returns the seconds since the settings were last known to be the newest.
+    catching_up : callable
+        Returns whether the box stood still and does not know yet what has changed.
     instances : InstanceList
     chooser : FreshChooser
     times : WorkTimes
@@ -151,6 +153,7 @@
         *,
         routes: Callable[[], RouteTable | None],
         age: Callable[[], Seconds],
+        catching_up: Callable[[], bool],
         instances: InstanceList,
         chooser: FreshChooser,
         times: WorkTimes,
@@ -163,6 +166,7 @@
     ) -> None:
         self._routes = routes
         self._age = age
+        self._catching_up = catching_up
         self._instances = instances
         self._chooser = chooser
         self._times = times
@@ -261,6 +265,9 @@
 
     def _look_up(self, run: _Run) -> Ending | None:
         """Match the request by the settings in force now."""
+        if self._catching_up():
+            detail = "the box stood still and learns what has changed"
+            return Ending(Outcome.NOT_RUN, 503, Reason.CATCHING_UP, detail)
         table = self._routes()
         if table is None:
             return Ending(Outcome.NOT_RUN, 503, Reason.NO_SETTINGS, "no settings are known yet")
@@ -301,7 +308,8 @@
         """Return after how long a refused caller may come back."""
         if ending.retry_after is not None:
             return ending.retry_after
-        wait = _COME_BACK_UNKNOWING_S if ending.reason is Reason.NO_SETTINGS else _COME_BACK_S
+        unknowing = ending.reason in (Reason.NO_SETTINGS, Reason.CATCHING_UP)
+        wait = _COME_BACK_UNKNOWING_S if unknowing else _COME_BACK_S
         if run.kind is not None:
             wait += run.kind.target_latency * _WAIT_SHARE * self._rng.random()
         return wait
@@ -345,6 +353,8 @@
 
     def _still(self, run: _Run, pick: Pick) -> bool:
         """Return whether what the choice rests on still holds after waiting for probes."""
+        if self._catching_up():
+            return False
         table = self._routes()
         kind = None if table is None else table.match(run.request.host, run.request.path)
         if kind is None or kind.service_at(run.point) != pick.instance.listed.service:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -17,7 +17,8 @@
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.coordination.membership.crash_news import CrashNews
-from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, Mesh
+from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, STALE_S, Mesh
+from dunlinnotch.coordination.membership.wake import WakeWatch
 from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.forward import Forwarder
 from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
@@ -174,6 +175,7 @@
             TableFollower(table, adapter.source, self.mesh, on_answer=self._tell_answer, rng=rng)
             for table in self.tables.values()
         ]
+        self.wake = WakeWatch(clock=clock, outdated=self._outdated)
         self.figures = Figures(self._gauges)
         self._targets = TargetClient(adapter.targets)
         self.crashes = CrashLog(clock=elapsed)
@@ -196,6 +198,7 @@
         self.forwarder = Forwarder(
             routes=lambda: self.routes.table,
             age=lambda: self.mesh.age(self._settings_rows),
+            catching_up=lambda: self.wake.catching_up,
             instances=self.instances,
             chooser=chooser,
             times=times,
@@ -279,7 +282,7 @@
     @property
     def ready(self) -> bool:
         """Whether the box takes new work."""
-        return self.mesh.state == RUNNING
+        return self.mesh.state == RUNNING and not self.wake.catching_up
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(self._guard(work))
@@ -315,6 +318,7 @@
     async def _look_after(self) -> None:
         """Keep up what depends on time."""
         while True:
+            self.wake.look()
             if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
                 self.mesh.state = RUNNING
                 event(_log, "serving", box=self.mesh.name, version=self._version())
@@ -334,6 +338,9 @@
         known = self.routes.table is not None and all(t.known for t in self.tables.values())
         return known and self.crash_news.may_serve
 
+    def _outdated(self) -> bool:
+        return any(self.mesh.age(table) > STALE_S for table in self.tables.values())
+
     def _version(self) -> int:
         return 0 if self.routes.table is None else self.routes.table.version
 
--- a/dunlinnotch/platform/__main__.py
+++ b/dunlinnotch/platform/__main__.py
@@ -14,6 +14,7 @@
 
 from dunlinnotch._logs import BoundedStream, configure_stream  # noqa: E402
 from dunlinnotch.daemon.entry import EntryBox, EntrySettings, run_until_stopped  # noqa: E402
+from dunlinnotch.daemon.loop import ElapsedTimeLoop  # noqa: E402
 from dunlinnotch.errors import ConfigError  # noqa: E402
 from dunlinnotch.platform import settings_file  # noqa: E402
 from dunlinnotch.platform.adapter import make_adapter  # noqa: E402
@@ -36,7 +37,8 @@
     except ConfigError as error:
         sys.stderr.write(f"{error.code}: {error}\n")
         return _BAD_SETTINGS
-    asyncio.run(_run(settings, doors, stream, path))
+    with asyncio.Runner(loop_factory=ElapsedTimeLoop) as runner:
+        runner.run(_run(settings, doors, stream, path))
     return 0
 
 
--- a/dunlinnotch/protocol/outcome.py
+++ b/dunlinnotch/protocol/outcome.py
@@ -42,6 +42,7 @@
     REQUEST_BARRED = "request-barred"
     CALLER_GONE = "caller-gone"
     NO_SETTINGS = "no-settings"
+    CATCHING_UP = "catching-up"
     CUT_OFF = "cut-off"
     BOX_DRAINED = "box-drained"
     TOO_MANY_CONNECTIONS = "too-many-connections"
