Lab: a caller whose request ends its targets; mutants for the new mechanisms

A target that is just ending may take a connection and close it at once, so the check whether it ended tries once more.

--- a/dunlinnotch/lab/day.py
+++ b/dunlinnotch/lab/day.py
@@ -57,17 +57,20 @@
     STORE_SLOW = "store-slow"
     #: The store forgets its history.
     STORE_FORGETS = "store-forgets"
+    #: A caller sends, ``x`` times a second, a request that ends each target that runs it.
+    DEADLY_REQUEST = "deadly-request"
     #: A request kind moves to another service.
     SETTINGS_MOVE = "settings-move"
     #: Ten versions of the settings follow each other within a second.
     SETTINGS_STORM = "settings-storm"
 
 
-#: Troubles that are planned work: they excuse nothing.
+#: Troubles that excuse nothing: planned work, and what callers send.
 PLANNED = frozenset(
     {
         TroubleKind.BURST,
         TroubleKind.RELEASE,
+        TroubleKind.DEADLY_REQUEST,
         TroubleKind.BOX_STOP,
         TroubleKind.SETTINGS_MOVE,
         TroubleKind.SETTINGS_STORM,
--- a/dunlinnotch/lab/draw.py
+++ b/dunlinnotch/lab/draw.py
@@ -19,6 +19,7 @@
     TroubleKind.ANSWER_CUT: (0.02, 0.3),
     TroubleKind.ANSWER_TWICE: (0.02, 0.3),
     TroubleKind.STORE_SLOW: (0.05, 0.5),
+    TroubleKind.DEADLY_REQUEST: (2.0, 8.0),
 }
 
 
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -26,6 +26,11 @@
 #: A target is told of as gone once it has ended; it serves so long after its leaving is
 #: known, beyond the bound of the day, in seconds.
 _SERVES_ON_S = 0.5
+#: Time after which another target takes the place of one that ended under a request, in
+#: seconds.
+_BACK_S = 2.0
+#: Last part of the path of a request that ends the targets that run it.
+DEADLY = "deadly"
 
 
 @dataclass(slots=True, eq=False)
@@ -74,6 +79,7 @@
         self.services: dict[str, str] = {kind.name: kind.service for kind in day.kinds}
         self.moved_at: dict[str, list[tuple[Seconds, str]]] = {k.name: [] for k in day.kinds}
         self._version = 0
+        self._watches: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Fleet:
         """Start everything and wait until the boxes serve."""
@@ -97,6 +103,9 @@
 
     async def __aexit__(self, *_: object) -> None:
         """Stop everything that was started here."""
+        for watch in self._watches:
+            watch.cancel()
+        await asyncio.gather(*self._watches, return_exceptions=True)
         for box in self.boxes:
             if box.running:
                 box.send_signal(signal.SIGCONT)
@@ -143,6 +152,7 @@
             queue=service.queue,
             hangs_when_full=service.hangs,
             work_of=self._work_of,
+            ends_under=is_deadly,
         )
         worker = WorkerStandin(settings)
         await worker.start()
@@ -150,8 +160,20 @@
         await target.link.start()
         self.targets.append(target)
         self._list(target, "ready")
+        self._watches.add(asyncio.create_task(self._watch(target, service)))
         return target
 
+    async def _watch(self, target: Target, service: ServicePlan) -> None:
+        """Replace a target that ends under a request."""
+        await target.worker.ended.wait()
+        if target.ending:
+            return
+        target.ending = True
+        await target.link.close()
+        await asyncio.sleep(_BACK_S)
+        await self.end_target(target)
+        await self.add_target(service, target.place)
+
     def announce_leaving(self, target: Target) -> None:
         """Have a target say that it leaves."""
         target.sequence += 1
@@ -225,6 +247,11 @@
                 moves.append((now, service))
 
 
+def is_deadly(path: str) -> bool:
+    """Return whether a request for a path ends the target that runs it."""
+    return path.partition("?")[0].endswith(f"/{DEADLY}")
+
+
 def prefix_of(kind: KindPlan) -> str:
     """Return the path prefix of a kind."""
     return f"/{kind.name}/"
--- a/dunlinnotch/lab/referee.py
+++ b/dunlinnotch/lab/referee.py
@@ -31,6 +31,8 @@
 _READ_S = 0.2
 #: Time by which an attempt may be held beyond what its caller gave it, in seconds.
 _HELD_S = 0.5
+#: Targets that may end under one request before all boxes are to know it, and after.
+_ENDED_MOST = 3
 #: Share that is to be served once all troubles are over.
 _RECOVERED = 0.9
 #: Requests in the time after the troubles that make that share worth a word.
@@ -56,6 +58,8 @@
     STOP = "planned-stop"
     #: Nothing is held beyond its time.
     IN_TIME = "in-time"
+    #: A request under which three targets ended ends no more than three others.
+    BARRED = "barred"
     #: Probes of a target stay within their budget.
     PROBES = "probe-budget"
     #: Callers are served again once the troubles are over.
@@ -64,7 +68,14 @@
 
 #: Promises with a time in them: on a machine that is too busy they may seem broken.
 TIMED = frozenset(
-    {Promise.DRAIN, Promise.SETTINGS, Promise.IN_TIME, Promise.PROBES, Promise.RECOVERY}
+    {
+        Promise.DRAIN,
+        Promise.SETTINGS,
+        Promise.IN_TIME,
+        Promise.BARRED,
+        Promise.PROBES,
+        Promise.RECOVERY,
+    }
 )
 
 
@@ -100,6 +111,8 @@
         Of the traffic.
     moves : dict of str to sequence of (float, str)
         For each kind, when it went to which service.
+    deadly : sequence of AttemptRecord
+        Attempts of a request that ends the targets that run it; nobody misses them.
     """
 
     day: Day
@@ -109,6 +122,7 @@
     targets: Sequence[Target]
     windows: Sequence[Window]
     moves: dict[str, list[tuple[Seconds, str]]]
+    deadly: Sequence[AttemptRecord] = ()
 
 
 class Referee:
@@ -122,7 +136,7 @@
     def __init__(self, evidence: Evidence) -> None:
         self._seen = evidence
         self._day = evidence.day
-        self._attempts = {a.id: a for a in evidence.attempts}
+        self._attempts = {a.id: a for a in (*evidence.attempts, *evidence.deadly)}
         self._kinds = {kind.name: kind for kind in self._day.kinds}
         self._ran: dict[str, list[tuple[Target, Ran]]] = defaultdict(list)
         for target in evidence.targets:
@@ -141,6 +155,7 @@
         found += self._as_sent()
         found += self._drain()
         found += self._settings()
+        found += self._barred()
         found += self._probes()
         found += self._recovery()
         return found
@@ -240,6 +255,28 @@
             detail = f"{kind} {run.request_id} ran at service {target.service}"
             yield Finding(Promise.SETTINGS, target.worker.instance, detail)
 
+    def _barred(self) -> Iterable[Finding]:
+        """Check that targets are spared once some have ended under a request."""
+        contact = self._day.bounds.contact
+        ids = {attempt.id for attempt in self._seen.deadly}
+        runs = sorted(
+            (run.arrived, target.worker.instance)
+            for target in self._seen.targets
+            for run in target.worker.ran
+            if run.request_id in ids
+        )
+        if len(runs) <= _ENDED_MOST:
+            return
+        known_at = runs[_ENDED_MOST - 1][0] + contact + _SLACK_S
+        late = [
+            (at, name)
+            for at, name in runs
+            if at > known_at and not self._unplanned(at - contact, at)
+        ]
+        if len(late) > _ENDED_MOST:
+            detail = f"{len(runs)} ended under one request, {len(late)} of them too late"
+            yield Finding(Promise.BARRED, late[-1][1], detail)
+
     def _probes(self) -> Iterable[Finding]:
         for target in self._seen.targets:
             seconds = max(1.0, self._seen.ended - self._seen.began)
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -147,6 +147,7 @@
             targets=[*fleet.targets, *fleet.ended],
             windows=troubles.windows,
             moves=fleet.moved_at,
+            deadly=troubles.deadly_attempts,
         )
         return summarise(
             evidence,
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -9,8 +9,10 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from dunlinnotch.lab.day import TroubleKind
+from dunlinnotch.lab.fleet import DEADLY, HOST, prefix_of
 from dunlinnotch.lab.link import LinkState
 from dunlinnotch.lab.referee import Window
+from dunlinnotch.standins.users.caller import CallerRequestPlan, CallerStandin
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault
 
@@ -20,6 +22,7 @@
     from dunlinnotch.lab.day import TroublePlan
     from dunlinnotch.lab.fleet import Fleet, Target
     from dunlinnotch.standins.users.box import BoxProcess
+    from dunlinnotch.standins.users.caller import AttemptRecord
 
 _T = TypeVar("_T")
 
@@ -44,6 +47,8 @@
         What was wrong when; grows as the day goes on.
     load : float
         How many times the usual requests callers send now.
+    deadly_attempts : list of AttemptRecord
+        Attempts of requests that end the targets that run them.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -52,6 +57,7 @@
         self._loop = asyncio.get_running_loop()
         self.windows: list[Window] = []
         self.load = 1.0
+        self.deadly_attempts: list[AttemptRecord] = []
         self._how: dict[TroubleKind, Callable[[TroublePlan], Coroutine[None, None, None]]] = {
             TroubleKind.BURST: self._burst,
             TroubleKind.TARGET_SLOW: self._slow_targets,
@@ -63,6 +69,7 @@
             TroubleKind.ANSWER_TWICE: self._spoil_answers,
             TroubleKind.HEALTH_LIES: self._lie,
             TroubleKind.RELEASE: self._release,
+            TroubleKind.DEADLY_REQUEST: self._send_deadly,
             TroubleKind.BOX_KILL: self._kill_boxes,
             TroubleKind.BOX_FREEZE: self._freeze_boxes,
             TroubleKind.BOX_STOP: self._stop_boxes,
@@ -160,6 +167,33 @@
             if not target.ending:
                 await self._fleet.release(target)
 
+    async def _send_deadly(self, plan: TroublePlan) -> None:
+        kind = next((kind for kind in self._fleet.day.kinds if kind.repeatable), None)
+        if kind is None:
+            return
+        caller = CallerStandin(
+            self._rng.choice(self._fleet.day.places),
+            HOST,
+            directories=self._fleet.directories,
+            next_id=lambda: f"d{len(self.deadly_attempts):03x}{self._rng.getrandbits(32):08x}",
+            rng=self._rng,
+            keeps=False,
+        )
+        until = self._loop.time() + plan.for_s
+        while self._loop.time() < until:
+            request = CallerRequestPlan(
+                kind=kind.name,
+                method="GET",
+                path=f"{prefix_of(kind)}{DEADLY}?draw={self._rng.randrange(40)}",
+                body=b"",
+                repeatable=True,
+                deadline=kind.deadline_ms / 1000,
+                retries=0,
+            )
+            # Its caller does not wait as told.
+            self.deadly_attempts += await caller.request(0, request)
+            await asyncio.sleep(1 / plan.x)
+
     # -- boxes
 
     async def _kill_boxes(self, plan: TroublePlan) -> None:
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -14,6 +14,8 @@
 
 #: Longest wait for a new connection, in seconds.
 _CONNECT_S = 0.6
+#: Time in which a process that is ending closes a connection it has just taken, in seconds.
+_ENDING_S = 0.005
 #: Time in which an address without a process refuses a connection, in seconds: some round
 #: trips between places.
 _REFUSAL_S = 0.05
@@ -59,11 +61,19 @@
         -----
         A connection that comes about is kept for later.  Silence, and a reset after
         connecting, do not count: a link that is cut looks like the first, a target that
-        has too many connections like the second.
+        has too many connections like the second.  A process that is just ending may take
+        a connection and close it at once, so that is tried once more.
         """
         try:
             async with asyncio.timeout(_REFUSAL_S):
                 link = await self.connect()
+                if isinstance(link, NotSent):
+                    return link.refused
+                await asyncio.sleep(_ENDING_S)
+                if not link.over:
+                    self.give_back(link)
+                    return False
+                link = await self.connect()
         except TimeoutError:
             return False
         if isinstance(link, NotSent):
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -20,10 +20,13 @@
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
 from dunlinnotch.coordination.choosing.saturation import Saturation
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
+from dunlinnotch.coordination.membership.crash_news import CrashNews
 from dunlinnotch.coordination.membership.links import Links
 from dunlinnotch.coordination.membership.mesh import STALE_S, Mesh
 from dunlinnotch.coordination.membership.rows import Membership
+from dunlinnotch.coordination.membership.wake import WakeWatch
 from dunlinnotch.coordination.requests import once
+from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.drain import Drain
 from dunlinnotch.coordination.requests.forward import Forwarder
 from dunlinnotch.coordination.requests.router import Router
@@ -37,8 +40,9 @@
 from dunlinnotch.protocol.mesh import BoxWord
 from dunlinnotch.protocol.outcome import Outcome
 from dunlinnotch.protocol.relay import Verdict
+from dunlinnotch.state.crashes import Evidence
 from dunlinnotch.state.followed import FollowedTable
-from dunlinnotch.state.instances import InstanceList
+from dunlinnotch.state.instances import InstanceList, ListedTarget
 from dunlinnotch.state.ledger import Claim, ClaimStatus, KeyEntry, OnceLedger
 from dunlinnotch.state.targets import TargetRecord
 from dunlinnotch.state.tree import SettingsTree
@@ -240,13 +244,62 @@
     return True
 
 
+def _bar_nothing(self, suspect):
+    return 0.0
+
+
+def _tell_no_peer(self, new):
+    self._publish()
+
+
+def _keep_nothing(self, request):
+    self._to_keep.discard(request)
+
+
+def _all_at_once_count(self):
+    return len(self.targets)
+
+
+def _never_catch_up(self):
+    return False
+
+
+def _forget_starts(self):
+    return (0, self.sequence)
+
+
 ENTRY, SHARES = "tests/test_entry.py", "tests/test_shares.py"
+CRASHING, CRASH_NEWS = "tests/test_crashing.py", "tests/test_crash_news.py"
 LINKS, ASKING = "tests/test_links.py", "tests/test_asking.py"
 
 MUTANTS = (
     Mutant("repeat what may run once", Forwarder, "_may_repeat", _repeat_anything, ENTRY),
     Mutant("take any answer for one's own", WorkerDialect, "judge", _anybodys_answer, ENTRY),
     Mutant("promise for a bare 503", WorkerDialect, "judge", _no_promise_checked, ENTRY),
+    Mutant("bar no request", CrashGuard, "barred_for", _bar_nothing, CRASHING),
+    Mutant("tell no peer what ended targets", CrashNews, "_changed", _tell_no_peer, CRASH_NEWS),
+    Mutant("keep no bar in the store", CrashNews, "_keep", _keep_nothing, CRASH_NEWS),
+    Mutant(
+        "count targets that ended at once",
+        Evidence,
+        "in_turn",
+        property(_all_at_once_count),
+        "tests/test_crashes.py",
+    ),
+    Mutant(
+        "act at once on waking",
+        WakeWatch,
+        "catching_up",
+        property(_never_catch_up),
+        "tests/test_wake.py",
+    ),
+    Mutant(
+        "take starts for one",
+        ListedTarget,
+        "order",
+        property(_forget_starts),
+        "tests/test_instances.py",
+    ),
     Mutant("let no target leave", InstanceList, "_take_leaving", _leave_nothing, ENTRY),
     Mutant(
         "tell a peer only what one saw",
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -49,8 +49,8 @@
     return record
 
 
-def judge(attempts, targets, *, windows=(), moves=None, ended=30.0):
-    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {})
+def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=()):
+    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {}, deadly)
     return [finding.promise for finding in Referee(evidence).findings()]
 
 
@@ -195,3 +195,22 @@
     assert judge(attempts, [one], windows=windows) == found
     later = [Window(TroubleKind.BOX_KILL, 8.0, 16.0)]
     assert judge(attempts, [one], windows=later) == []
+
+
+@pytest.mark.parametrize(
+    ("late", "windows", "broken"),
+    [
+        (3, (), []),
+        (4, (), [Promise.BARRED]),
+        (4, [Window(TroubleKind.DEADLY_REQUEST, 0.0, 30.0)], [Promise.BARRED]),
+        (4, [Window(TroubleKind.STORE_DOWN, 0.0, 30.0)], []),
+    ],
+)
+def test_a_request_that_ends_targets_may_end_three_more_once_all_boxes_know(late, windows, broken):
+    # Three end at first, two more before all boxes have to know, the rest later.
+    times = [5.0, 5.1, 5.2, 6.0, 8.0, *(12.0 + n for n in range(late))]
+    ended = [target(f"t{number}") for number in range(len(times))]
+    for number, (one, at) in enumerate(zip(ended, times, strict=True)):
+        run_at(one, f"d{number}", arrived=at)
+    deadly = [attempt(f"d{number}", status=502) for number in range(len(times))]
+    assert judge([], ended, windows=windows, deadly=deadly) == broken
