--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -11,13 +11,13 @@
 import asyncio
 import logging
 import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.requests.bodies import HeldBody
 from dunlinnotch.coordination.requests.crash_guard import Suspect
-from dunlinnotch.coordination.requests.fingerprint import Fingerprint, fingerprint
+from dunlinnotch.coordination.requests.fingerprint import fingerprint
+from dunlinnotch.coordination.requests.run import Ending, Run, Try
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
 from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
@@ -52,72 +52,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class Ending:
-    """How a request ended.
-
-    Parameters
-    ----------
-    outcome : Outcome
-    status : int
-    reason : Reason or None
-    detail : str
-    retry_after : float or None
-        Seconds after which the caller may come back, if that is known.
-    """
-
-    outcome: Outcome
-    status: int
-    reason: Reason | None = None
-    detail: str = ""
-    retry_after: Seconds | None = None
-
-
-@dataclass(slots=True)
-class _Try:
-    """One target that a request was sent to, for the log."""
-
-    pick: Pick
-    began: Seconds
-    took: Seconds = 0.0
-    end: str = ""
-
-    def as_fields(self, arrived: Seconds) -> dict[str, object]:
-        """Return what the log tells of it; ``began_ms`` counts from the request's arrival."""
-        return {
-            "target": self.pick.instance.name,
-            "why": self.pick.why,
-            "expected": round(self.pick.expected, 2),
-            "ahead": self.pick.start.ahead,
-            "slowness": self.pick.start.slowness,
-            "report_age_ms": round(self.pick.start.report_age * 1000),
-            "began_ms": round((self.began - arrived) * 1000, 1),
-            "took_ms": round(self.took * 1000, 1),
-            "end": self.end,
-        }
-
-
-@dataclass(slots=True, eq=False)
-class _Run:
-    """One request under way."""
-
-    request: CallerRequest
-    body: HeldBody
-    reply: ReplyPort
-    point: float
-    suspect: Suspect = field(default_factory=lambda: Suspect(Fingerprint("", "")))
-    kind: RequestKind | None = None
-    service: str = ""
-    version: int = 0
-    sends: int = 0
-    may_have_run: bool = False
-    counted: bool = False
-    stopping: bool = False
-    scope: asyncio.Timeout | None = None
-    tries: list[_Try] = field(default_factory=list)
-    tried: set[str] = field(default_factory=set)
-
-
 class ForwardObserver(Protocol):
     """Is told of the end of each request, for metrics."""
 
@@ -179,7 +113,7 @@
         self._loop = asyncio.get_running_loop()
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
-        self._running: set[_Run] = set()
+        self._running: set[Run] = set()
 
     @property
     def in_flight(self) -> int:
@@ -214,7 +148,7 @@
         self, request: CallerRequest, parts: AsyncIterator[bytes], reply: ReplyPort
     ) -> Ending:
         """Serve one request; cancelled when its caller has gone."""
-        run = _Run(request, HeldBody(parts), reply, point=0.0)
+        run = Run(request, HeldBody(parts), reply, point=0.0)
         self._running.add(run)
         try:
             ending = await self._matched(run)
@@ -226,14 +160,17 @@
         self._end(run, ending)
         return ending
 
-    def _end(self, run: _Run, ending: Ending) -> None:
+    def _end(self, run: Run, ending: Ending) -> None:
         answered = ending.outcome is Outcome.ANSWERED and ending.status < 500
         self._guard.finished(run.suspect, answered=answered)
-        self._log_end(run, ending)
+        took = self._loop.time() - run.request.arrived
+        kind = "" if run.kind is None else run.kind.name
+        self._observer.request_ended(kind, ending, took, run.sends)
+        run.log(ending, took=took, settings_age=self._age())
 
     # -- matching, time and refusals
 
-    async def _matched(self, run: _Run) -> Ending:
+    async def _matched(self, run: Run) -> Ending:
         request = run.request
         missing = self._look_up(run)
         if missing is not None:
@@ -263,7 +200,7 @@
             ending = Ending(Outcome.UNKNOWN, 502, ending.reason, ending.detail)
         return self._refuse(run, ending)
 
-    def _look_up(self, run: _Run) -> Ending | None:
+    def _look_up(self, run: Run) -> Ending | None:
         """Match the request by the settings in force now."""
         if self._catching_up():
             detail = "the box stood still and learns what has changed"
@@ -285,7 +222,7 @@
         return point
 
     @staticmethod
-    def _out_of_time(run: _Run) -> Ending:
+    def _out_of_time(run: Run) -> Ending:
         if run.stopping and run.may_have_run:
             return Ending(Outcome.UNKNOWN, 504, Reason.BOX_DRAINED, "no answer before the box ends")
         if run.stopping:
@@ -294,7 +231,7 @@
             return Ending(Outcome.UNKNOWN, 504, Reason.DEADLINE_EXPIRED, "no answer in time")
         return Ending(Outcome.NOT_RUN, 503, Reason.DEADLINE_EXPIRED, "no target in time")
 
-    def _refuse(self, run: _Run, ending: Ending) -> Ending:
+    def _refuse(self, run: Run, ending: Ending) -> Ending:
         """Tell the caller at once; an answer under way is cut."""
         if run.reply.begun:
             return ending
@@ -304,7 +241,7 @@
         run.reply.reply(ending.status, headers, b"")
         return ending
 
-    def _come_back(self, run: _Run, ending: Ending) -> Seconds:
+    def _come_back(self, run: Run, ending: Ending) -> Seconds:
         """Return after how long a refused caller may come back."""
         if ending.retry_after is not None:
             return ending.retry_after
@@ -316,7 +253,7 @@
 
     # -- attempts
 
-    async def _attempts(self, run: _Run) -> Ending:
+    async def _attempts(self, run: Run) -> Ending:
         last: Ending | None = None
         while True:
             missing = self._look_up(run) or self._barred(run)
@@ -343,7 +280,7 @@
                 return settled
             last = settled
 
-    def _barred(self, run: _Run) -> Ending | None:
+    def _barred(self, run: Run) -> Ending | None:
         """Return the refusal of a request under which targets ended, here or elsewhere."""
         wait = self._guard.barred_for(run.suspect)
         if not wait:
@@ -351,7 +288,7 @@
         detail = "targets ended under this request each time it was run"
         return Ending(Outcome.NOT_RUN, 503, Reason.REQUEST_BARRED, detail, retry_after=wait)
 
-    def _still(self, run: _Run, pick: Pick) -> bool:
+    def _still(self, run: Run, pick: Pick) -> bool:
         """Return whether what the choice rests on still holds after waiting for probes."""
         if self._catching_up():
             return False
@@ -361,23 +298,23 @@
             return False
         return not pick.instance.replaced and self._barred(run) is None
 
-    def _nobody(self, run: _Run, service: str) -> Ending:
+    def _nobody(self, run: Run, service: str) -> Ending:
         if not self._instances.of(service):
             detail = f"service {service!r} has no target"
             return Ending(Outcome.NOT_RUN, 503, Reason.NO_TARGET, detail)
         return Ending(Outcome.NOT_RUN, 503, Reason.QUEUE_FULL, "no target is free in time")
 
-    def _may_repeat(self, run: _Run, kind: RequestKind, ended: Ending) -> bool:
+    def _may_repeat(self, run: Run, kind: RequestKind, ended: Ending) -> bool:
         if run.reply.begun or run.sends >= kind.attempts or not run.body.resendable:
             return False
         return kind.repeatable or not run.may_have_run
 
-    async def _attempt(self, run: _Run, kind: RequestKind, pick: Pick) -> AttemptEnd:
+    async def _attempt(self, run: Run, kind: RequestKind, pick: Pick) -> AttemptEnd:
         instance = pick.instance
         now = self._loop.time()
         request = run.request
         left = min(request.deadline, request.arrived + kind.timeout) - now
-        trial = _Try(pick, began=now)
+        trial = Try(pick, began=now)
         run.tries.append(trial)
         run.tried.add(instance.name)
         run.sends += 1
@@ -401,18 +338,18 @@
             trial.took = self._loop.time() - now
 
     async def _settle(
-        self, run: _Run, kind: RequestKind, instance: Instance, end: AttemptEnd
+        self, run: Run, kind: RequestKind, instance: Instance, end: AttemptEnd
     ) -> Ending:
         now = self._loop.time()
         if isinstance(end, Answered):
             return await self._relay(run, kind, instance, end)
         if isinstance(end, NotSent):
             run.sends -= 1
-            run.may_have_run = self._ran_before(run)
+            run.may_have_run = run.ran_before
             self._chooser.failed(instance, now)
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
-            run.may_have_run = self._ran_before(run)
+            run.may_have_run = run.ran_before
             self._seeker.heard(instance, end.report)
             if end.elsewhere:
                 self._instances.leave(instance.name)
@@ -424,18 +361,13 @@
             await self._look_for_end(run, instance)
         return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
 
-    async def _look_for_end(self, run: _Run, instance: Instance) -> None:
+    async def _look_for_end(self, run: Run, instance: Instance) -> None:
         """Have the guard note it if the target of the last try has ended."""
         took = self._loop.time() - run.tries[-1].began
         await self._guard.look(run.suspect, run.request, instance, took=took)
 
-    @staticmethod
-    def _ran_before(run: _Run) -> bool:
-        """Return whether an attempt before the last one may have run."""
-        return any(t.end not in ("NotSent", "NotRun") for t in run.tries[:-1])
-
     async def _relay(
-        self, run: _Run, kind: RequestKind, instance: Instance, answered: Answered
+        self, run: Run, kind: RequestKind, instance: Instance, answered: Answered
     ) -> Ending:
         """Pass an answer to the caller, to its last byte or not cleanly at all."""
         answer = answered.answer
@@ -470,13 +402,13 @@
             self._times.note(kind.name, run.service, trial.pick.start, trial.took)
             answer.close()
 
-    def _worth_repeating(self, run: _Run, kind: RequestKind) -> bool:
+    def _worth_repeating(self, run: Run, kind: RequestKind) -> bool:
         if not kind.repeatable or run.sends >= kind.attempts or not run.body.resendable:
             return False
         others = [i for i in self._instances.of(run.service) if i.name not in run.tried]
         return bool(others)
 
-    async def _choose(self, run: _Run, kind: RequestKind, service: str) -> Pick | None:
+    async def _choose(self, run: Run, kind: RequestKind, service: str) -> Pick | None:
         """Look for a target, at most for a share of the target latency."""
         since = self._loop.time() if run.sends else run.request.arrived
         return await self._seeker.choose(
@@ -488,37 +420,10 @@
             most_late=self._most_expected(run, kind, kind.timeout),
         )
 
-    def _most_expected(self, run: _Run, kind: RequestKind, within: Seconds) -> float:
+    def _most_expected(self, run: Run, kind: RequestKind, within: Seconds) -> float:
         """Return how many usual times of its kind a request has left to end within a time."""
         usual = self._times.usual(kind.name)
         if usual is None:
             return math.inf
         until = min(run.request.deadline, run.request.arrived + within)
         return max(0.0, until - self._loop.time()) / usual
-
-    # -- logs
-
-    def _log_end(self, run: _Run, ending: Ending) -> None:
-        now = self._loop.time()
-        took = now - run.request.arrived
-        kind = "" if run.kind is None else run.kind.name
-        self._observer.request_ended(kind, ending, took, run.sends)
-        event(
-            _log,
-            "route",
-            request=run.request.request_id,
-            caller=run.request.caller,
-            content=run.suspect.fingerprint.content,
-            origin=run.suspect.fingerprint.origin,
-            kind=kind,
-            service=run.service,
-            version=run.version,
-            settings_age_s=round(self._age(), 2),
-            outcome=ending.outcome,
-            status=ending.status,
-            reason=ending.reason,
-            detail=ending.detail,
-            took_ms=round(took * 1000, 1),
-            target_latency_ms=None if run.kind is None else run.kind.target_latency * 1000,
-            tries=[t.as_fields(run.request.arrived) for t in run.tries],
-        )
--- a/dunlinnotch/daemon/figures.py
+++ b/dunlinnotch/daemon/figures.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dunlinnotch.coordination.requests.forward import Ending
+    from dunlinnotch.coordination.requests.run import Ending
     from dunlinnotch.types import Seconds
 
 #: Upper ends of the histograms' buckets, in seconds.
