Learn how long work takes from answers that succeeded only

Cause: the time of every answer was noted, also of a 5xx and of one cut short, so a target that failed fast shortened the learnt usual time of its kind, by which requests are judged to end in time. Change: only a whole answer under 500 is noted. Test first: both cases fail on the code before.

--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -385,11 +385,15 @@
                 self._chooser.did_well(instance)
             if whole is not None:
                 run.reply.reply(head.status, head.headers, whole, head.phrase)
-                return Ending(Outcome.ANSWERED, head.status)
-            run.reply.begin(head.status, head.headers, length=head.length, phrase=head.phrase)
-            async for part in answer.parts():
-                await run.reply.send(part)
-            run.reply.finish()
+            else:
+                run.reply.begin(head.status, head.headers, length=head.length, phrase=head.phrase)
+                async for part in answer.parts():
+                    await run.reply.send(part)
+                run.reply.finish()
+            if not failed:
+                # Failures are mostly fast, and would make the usual time seem short.
+                took = self._loop.time() - run.tries[-1].began
+                self._times.note(kind.name, run.service, run.tries[-1].pick.start, took)
             return Ending(Outcome.ANSWERED, head.status)
         except BodyCutError as error:
             self._chooser.failed(instance, self._loop.time())
@@ -398,8 +402,6 @@
             return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
         finally:
             run.tries[-1].took = self._loop.time() - run.tries[-1].began
-            trial = run.tries[-1]
-            self._times.note(kind.name, run.service, trial.pick.start, trial.took)
             answer.close()
 
     def _worth_repeating(self, run: Run, kind: RequestKind) -> bool:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -184,8 +184,8 @@
         )
         self._crash_guard = CrashGuard(self.crashes, self._targets, tell=self.crash_news.tell)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
-        times = WorkTimes()
-        chooser = FreshChooser(place=settings.place, times=times, rng=rng)
+        self.times = WorkTimes()
+        chooser = FreshChooser(place=settings.place, times=self.times, rng=rng)
         self.seeker = TargetSeeker(
             instances=self.instances,
             chooser=chooser,
@@ -201,7 +201,7 @@
             catching_up=lambda: self.wake.catching_up,
             instances=self.instances,
             chooser=chooser,
-            times=times,
+            times=self.times,
             seeker=self.seeker,
             make_repeats=self._make_repeats,
             guard=self._crash_guard,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -256,6 +256,25 @@
     run(test)
 
 
+@pytest.mark.parametrize("fault", [WorkerFault.ERROR, WorkerFault.CUT])
+def test_targets_that_fail_fast_do_not_make_work_seem_short(fault):
+    async def test():
+        async with stream_world(workers=0) as world:
+            worker = await world.add_worker(WorkerSettings(work_s=0.05))
+            box = world.boxes[0]
+            await until(lambda: box.instances.of("loans"))
+            assert (await call(box, "/lend/", "first", method="POST", body=b"x")).status == 200
+            usual = box.times.usual("lend")
+            worker.settings.work_s = 0.0
+            worker.settings.faults = [fault] * 3
+            for number in range(3):
+                answer = await call(box, "/lend/", f"f{number}", method="POST", body=b"x")
+                assert answer.status >= 500
+            assert box.times.usual("lend") == usual >= 0.05
+
+    run(test)
+
+
 def test_nothing_is_sent_that_cannot_end_in_time():
     async def test():
         async with stream_world(workers=0) as world:
