Boxes that start learn of barred requests without delay; bars nobody saw alone are kept

And where three boxes saw one target end each, none of them saw the bar, so nobody kept it in the store. Change: read at once, tell peers at once; the first box of each place keeps the bars it hears of.

--- a/dunlinnotch/coordination/membership/crash_news.py
+++ b/dunlinnotch/coordination/membership/crash_news.py
@@ -72,6 +72,8 @@
     store : RowStore
     send : callable
         Sends evidence to peers.
+    on_known : callable
+        Called once this box holds what was seen before it started: its peers wait for that.
     rng : random.Random
 
     Attributes
@@ -81,12 +83,20 @@
     """
 
     def __init__(
-        self, log: CrashLog, mesh: Mesh, store: RowStore, *, send: Send, rng: random.Random
+        self,
+        log: CrashLog,
+        mesh: Mesh,
+        store: RowStore,
+        *,
+        send: Send,
+        on_known: Callable[[], None],
+        rng: random.Random,
     ) -> None:
         self._evidence = log
         self._mesh = mesh
         self._store = store
         self._send = send
+        self._on_known = on_known
         self._rng = rng
         self._began = log.now
         self._read_at = -math.inf
@@ -103,14 +113,13 @@
 
     def tell(self, seen: Sequence[Evidence]) -> None:
         """Tell peers what this box has seen itself."""
-        self._changed(seen)
-        self._to_keep.update(e.request for e in seen if e.in_turn >= BAR_AT)
+        self._changed(seen, keeps=True)
 
     def take(self, seen: SeenCrashes) -> None:
         """Take in what a peer tells; pass it on if it is new."""
         evidence = self._evidence.merge(from_ages(seen, self._evidence.now))
         if evidence is not None:
-            self._changed([evidence])
+            self._changed([evidence], keeps=self._mesh.is_first())
 
     def heard(self, word: BoxWord) -> None:
         """Compare a peer's evidence with this box's own."""
@@ -127,9 +136,17 @@
         now = self._evidence.now
         return [as_ages(evidence, now) for evidence in self._evidence.settled]
 
-    def _changed(self, new: Sequence[Evidence]) -> None:
-        """Log what is new, and pass it on."""
+    def _changed(self, new: Sequence[Evidence], *, keeps: bool) -> None:
+        """Log what is new, pass it on, and have the bars among it kept in the store.
+
+        Notes
+        -----
+        One box of each place keeps what it hears too: three boxes may each have seen one
+        target end, so that none of them saw the bar, and the one that did may be lost.
+        """
         for evidence in new:
+            if keeps and evidence.in_turn >= BAR_AT:
+                self._to_keep.add(evidence.request)
             event(
                 _log,
                 "evidence",
@@ -147,17 +164,17 @@
         self._mesh.crashes = self._evidence.digest if self.known else None
 
     def _now_known(self) -> None:
-        if not self.known:
-            self.known = True
-            event(_log, "evidence-known", requests=len(self._evidence.settled))
+        before, self.known = self.known, True
         self._publish()
+        if not before:
+            event(_log, "evidence-known", requests=len(self._evidence.settled))
+            self._on_known()
 
     # -- to and from the store
 
     async def run(self) -> None:
         """Read and write the store's rows whenever this box is to."""
         while True:
-            await asyncio.sleep(_LOOK_S * (0.8 + 0.4 * self._rng.random()))
             try:
                 if self._is_to_read():
                     self._take_rows(await self._read())
@@ -166,6 +183,7 @@
             except PlatformUnavailableError as error:
                 event(_log, "evidence-store-failed", level=logging.WARNING, detail=str(error))
                 await asyncio.sleep(_PAUSE_S)
+            await asyncio.sleep(_LOOK_S * (0.8 + 0.4 * self._rng.random()))
 
     def _is_to_read(self) -> bool:
         now = self._evidence.now
@@ -182,7 +200,7 @@
         merged = [self._evidence.merge(evidence) for evidence in self._kept(read).values()]
         new = [evidence for evidence in merged if evidence is not None]
         if new:
-            self._changed(new)
+            self._changed(new, keeps=False)
         self._now_known()
 
     def _kept(self, read: RowsRead) -> dict[str, Evidence]:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -180,7 +180,12 @@
         self._targets = TargetClient(adapter.targets)
         self.crashes = CrashLog(clock=elapsed)
         self.crash_news = CrashNews(
-            self.crashes, self.mesh, adapter.rows, send=self._send_crashes, rng=rng
+            self.crashes,
+            self.mesh,
+            adapter.rows,
+            send=self._send_crashes,
+            on_known=self._tell_state,
+            rng=rng,
         )
         self._crash_guard = CrashGuard(self.crashes, self._targets, tell=self.crash_news.tell)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
--- a/tests/test_crash_news.py
+++ b/tests/test_crash_news.py
@@ -74,7 +74,14 @@
                 self.queue += [(message, peer) for peer in to]
 
         rng = random.Random(1)
-        return CrashNews(self.logs[name], self.meshes[name], self.store, send=send, rng=rng)
+        return CrashNews(
+            self.logs[name],
+            self.meshes[name],
+            self.store,
+            send=send,
+            on_known=lambda: None,
+            rng=rng,
+        )
 
     def _take(self, name, word):
         self.news[name].heard(word)
@@ -169,7 +176,9 @@
         boxes.clock.now = clock
     log = CrashLog(clock=boxes.clock)
     mesh = boxes.meshes["box-0"]
-    news = CrashNews(log, mesh, store, send=lambda *_: None, rng=random.Random(1))
+    news = CrashNews(
+        log, mesh, store, send=lambda *_: None, on_known=lambda: None, rng=random.Random(1)
+    )
     return news, log, boxes
 
 
@@ -190,6 +199,25 @@
     asyncio.run(test())
 
 
+def test_a_bar_that_no_box_saw_alone_is_kept_by_one_that_hears_of_it():
+    async def test():
+        store = Rows()
+        boxes = TellingBoxes(9, store=store).settled()
+        told = [
+            boxes.logs[f"box-{number}"].note_ended("worst", {target: span})
+            for number, (target, span) in enumerate(TARGETS.items())
+        ]
+        # All three tell at once, before they hear each other.
+        for number, evidence in enumerate(told):
+            boxes.news[f"box-{number}"].tell([evidence])
+        boxes.deliver()
+        assert boxes.barring() == 9
+        first = next(m for m in boxes.meshes.values() if m.is_first())
+        await work(boxes.news[first.name], lambda: store.rows)
+
+    asyncio.run(test())
+
+
 def test_what_bars_nothing_is_not_kept():
     async def test():
         store = Rows()
