--- a/dunlinnotch/coordination/membership/wake.py
+++ b/dunlinnotch/coordination/membership/wake.py
@@ -39,14 +39,23 @@
         self._looked_at = clock()
         self._until: Seconds = 0.0
 
-    def look(self) -> None:
-        """Note that the box looks after itself; called many times a second."""
+    def look(self) -> bool:
+        """Note that the box looks after itself, which it does many times a second.
+
+        Returns
+        -------
+        bool
+            Whether it has just gone on and should ask its peers what has changed.
+        """
         now = self._clock()
         still = now - self._looked_at
         self._looked_at = now
-        if still > STOOD_STILL_S:
-            self._until = now + CATCH_UP_S
-            event(_log, "stood-still", still_s=round(still, 2), outdated=self._outdated())
+        if still <= STOOD_STILL_S:
+            return False
+        self._until = now + CATCH_UP_S
+        outdated = self._outdated()
+        event(_log, "stood-still", still_s=round(still, 2), outdated=outdated)
+        return outdated
 
     @property
     def catching_up(self) -> bool:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -56,6 +56,8 @@
 _HEAR_ANYBODY_S = 0.4
 _FETCH_S = 1.0
 _LOOK_S = 0.05
+#: Peers that a box asks on waking: some of them may have stood still too.
+_ASKED_ON_WAKING = 3
 #: Connections that a target accepts are shared by at least so many boxes.
 _BOXES_LEAST = 6
 
@@ -323,7 +325,9 @@
     async def _look_after(self) -> None:
         """Keep up what depends on time."""
         while True:
-            self.wake.look()
+            if self.wake.look():
+                # Their answers come within a round trip, their next words within 0.5 s.
+                self._words.send([self.mesh.own_word(wants_word=True)], self._few_peers())
             if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
                 self.mesh.state = RUNNING
                 event(_log, "serving", box=self.mesh.name, version=self._version())
@@ -433,6 +437,10 @@
             self._words.send([self.mesh.own_word(wants_word=True)], strange)
         self._tell_all(self.mesh.to_tell())
 
+    def _few_peers(self) -> list[Address]:
+        near = self.mesh.to_tell()
+        return self._rng.sample(near, min(_ASKED_ON_WAKING, len(near)))
+
     def _known_peers(self) -> set[Address]:
         return {word.peer for word in self.mesh.others()}
 
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -33,10 +33,10 @@
     clock.now += SUSPENDED_S
     # Requests are taken before it looks after itself.
     assert wake.catching_up
-    wake.look()
+    assert wake.look()
     assert wake.catching_up
     clock.now += CATCH_UP_S / 2
-    wake.look()
+    assert not wake.look()
     assert wake.catching_up
     clock.now += CATCH_UP_S / 2
     wake.look()
@@ -47,6 +47,7 @@
     clock, wake = watch(outdated=False)
     clock.now += SUSPENDED_S
     assert not wake.catching_up
+    assert not wake.look()
 
 
 @pytest.fixture
@@ -106,3 +107,26 @@
         run(test)
     reasons = [r.fields["reason"] for r in caplog.records if r.message == "route"]
     assert reasons[0] == "catching-up"
+
+
+def test_a_box_that_wakes_asks_its_peers_at_once(suspended):
+    """Their next words come within 0.5 s, and callers are refused until then."""
+
+    async def test():
+        async with stream_world(boxes=3) as world:
+            box = world.boxes[0]
+            await until(lambda: len(box.mesh.live()) == 2)
+            asked = []
+            send = box._words.send
+
+            def watched(messages, to):
+                messages = list(messages)
+                asked.extend(to for m in messages if getattr(m, "wants_word", False))
+                send(messages, to)
+
+            box._words.send = watched
+            suspended[0] += SUSPENDED_S
+            await until(lambda: asked)
+            await until(lambda: box.ready)
+
+    run(test)
