--- a/dunlinnotch/cli/trace.py
+++ b/dunlinnotch/cli/trace.py
@@ -14,6 +14,8 @@
 from dunlinnotch.trace.summary import summarise, summary_as_text
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from dunlinnotch.types import Seconds
 
 
@@ -33,6 +35,15 @@
         """Return the logs named."""
         return [Path(name) for name in self.argument("logs")]
 
+    def show(self, lines: Iterable[str], *, found: bool, missing: str) -> Exit:
+        """Print what the logs tell, or say what is missing; FAILED if nothing was found."""
+        for line in lines:
+            self.line(line)
+        if found:
+            return Exit.OK
+        self.line_error(missing)
+        return Exit.FAILED
+
 
 class TraceRequest(LogCommand):
     """Follow one request."""
@@ -49,12 +60,8 @@
         """Print the trace; FAILED if no log has the request."""
         request = self.argument("request")
         trace = trace_request(request, self.files())
-        for line in trace_as_text(trace):
-            self.line(line)
-        if trace.passages:
-            return Exit.OK
-        self.line_error(f"no log has a decision on request {request!r}; left out by its rate?")
-        return Exit.FAILED
+        missing = f"no log has a decision on request {request!r}; left out by its rate?"
+        return self.show(trace_as_text(trace), found=bool(trace.passages), missing=missing)
 
 
 class TraceBox(LogCommand):
@@ -72,13 +79,9 @@
     def act(self) -> Exit:
         """Print the beliefs; FAILED if there are none."""
         time = _seconds("time", self.argument("time"))
-        lines = list(beliefs_as_text(beliefs_at(self.argument("box"), time, self.files()), time))
-        for line in lines:
-            self.line(line)
-        if lines:
-            return Exit.OK
-        self.line_error(f"no log tells of box {self.argument('box')!r} at {time}")
-        return Exit.FAILED
+        box = self.argument("box")
+        lines = list(beliefs_as_text(beliefs_at(box, time, self.files()), time))
+        return self.show(lines, found=bool(lines), missing=f"no log tells of box {box!r} at {time}")
 
 
 class TraceSummary(LogCommand):
@@ -98,12 +101,11 @@
         """Print the summary; FAILED if no log has a decision in that time."""
         begin, end, every = self._bounds()
         slices = summarise(self.files(), begin=begin, end=end, every=every)
-        for line in summary_as_text(slices):
-            self.line(line)
-        if slices:
-            return Exit.OK
-        self.line_error("no log has a decision in that time")
-        return Exit.FAILED
+        return self.show(
+            summary_as_text(slices),
+            found=bool(slices),
+            missing="no log has a decision in that time",
+        )
 
     def _bounds(self) -> tuple[Seconds, Seconds, Seconds | None]:
         begin = _seconds("--from", self.option("from") or "-inf")
