Read and log what a target says as it turns a request away

Cause of the change: the boxes' logs could not tell a target that asks for rest from one that is full or does not ask; a try that ended `NotRun` named neither.

What targets say of themselves is now one typed value (TargetStatus), read from the head of each answer whatever becomes of it: also of answers that can't be passed on or break off, which told nothing so far. `route` lines name the status and the rest asked for, `target-asks-rest` is an event, `rests_asked_total` a figure; `trace request` shows both. No choice of a target depends on it yet.

Found on the way: digits other than 0 to 9 in a header (load, deadline, keep-alive) passed for numbers and raised ValueError in the request's path; they are read as nothing now, with a test case.

The stand-in of a target turns requests away, with rest asked for.

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -28,7 +28,7 @@
 from dunlinnotch.protocol.relay import Answered, Asked, Broken, CallerRequest, NotRun
 from dunlinnotch.state.crashes import CrashLog
 from dunlinnotch.state.heads import AnswerHead, Header
-from dunlinnotch.state.instances import InstanceList, ListedTarget, TargetReport
+from dunlinnotch.state.instances import InstanceList, ListedTarget
 from dunlinnotch.state.routes import (
     CallerLimits,
     RequestKind,
@@ -36,6 +36,7 @@
     ServiceInfo,
     ServiceShare,
 )
+from dunlinnotch.state.target_status import TargetReport, TargetStatus
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Sequence
@@ -179,13 +180,20 @@
         target = self._targets[address]
         report = target.report()
         await asyncio.sleep(_TRAVEL_S)
-        return Asked(target.name, True, report)
+        return Asked(target.name, True, TargetStatus(report))
 
     def release(self, address: str, asked: Asked) -> None:
         """Do nothing: there are no connections."""
 
     async def attempt(
-        self, address: str, request: CallerRequest, body: object, *, left: float, **_: object
+        self,
+        address: str,
+        request: CallerRequest,
+        body: object,
+        *,
+        left: float,
+        said: Callable[[TargetStatus], None],
+        **_: object,
     ) -> AttemptEnd:
         """Have a target work on a request."""
         target = self._targets[address]
@@ -197,8 +205,10 @@
             return Broken(Reason.TARGET_BROKEN, "the target gave up at the deadline", 504)
         await asyncio.sleep(_TRAVEL_S)
         if not done:
-            return NotRun(503, elsewhere=False, report=target.report())
-        return Answered(ModelAnswer(), target.report())
+            said(TargetStatus(target.report()))
+            return NotRun(503, elsewhere=False)
+        said(TargetStatus(target.report()))
+        return Answered(ModelAnswer())
 
 
 class ModelReply:
--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -20,7 +20,7 @@
 from dunlinnotch.coordination.choosing.waiting import Pick, ServiceQueue, Waiter
 from dunlinnotch.coordination.choosing.work_times import Start
 from dunlinnotch.protocol.relay import Asked
-from dunlinnotch.state.instances import TargetReport
+from dunlinnotch.state.target_status import TargetReport, TargetStatus
 
 if TYPE_CHECKING:
     import logging
@@ -82,6 +82,8 @@
         self._running: set[asyncio.Task[None]] = set()
         self._queues: dict[str, ServiceQueue] = {}
         self._arrivals = 0
+        #: Times that a target has asked this box for rest.
+        self.rests_asked = 0
 
     async def choose(
         self,
@@ -127,11 +129,13 @@
         if pick.asked is not None:
             self._targets.release(instance.address, pick.asked)
 
-    def heard(self, instance: Instance, report: TargetReport | None) -> None:
-        """Take in a report that came with an answer; who waits may use it."""
-        if report is None:
+    def heard(self, instance: Instance, status: TargetStatus) -> None:
+        """Take in what a target said with an answer; who waits may use it."""
+        if status.rest:
+            self._log_rest(instance, status)
+        if status.report is None:
             return
-        instance.heard(report, self._loop.time())
+        instance.heard(status.report, self._loop.time())
         queue = self._queues.get(instance.listed.service)
         if queue is not None:
             self._offer(queue, instance, None)
@@ -284,7 +288,7 @@
             async with asyncio.timeout(_ASK_LOST_S):
                 asked = await self._targets.ask(instance.address, path)
         except TimeoutError:
-            asked = Asked(None, False, None, "no answer to a probe")
+            asked = Asked(None, well=False, detail="no answer to a probe")
         finally:
             patience.cancel()
             queue.asking.discard(instance)
@@ -321,11 +325,25 @@
                 )
             return False
         instance.well = asked.well
+        status = asked.status or TargetStatus()
+        if status.rest:
+            self._log_rest(instance, status)
         # A target that tells no load: what this box has there is all that is known.
         own = TargetReport(instance.own, 0, max(1, instance.listed.slots))
-        instance.heard(asked.report or own, self._loop.time())
+        instance.heard(status.report or own, self._loop.time())
         return not instance.replaced
 
+    def _log_rest(self, instance: Instance, status: TargetStatus) -> None:
+        self.rests_asked += 1
+        event(
+            self._log,
+            "target-asks-rest",
+            instance=instance.name,
+            service=instance.listed.service,
+            target=instance.address,
+            rest_s=round(status.rest, 3),
+        )
+
     def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run something that goes on when the request that began it does not wait for it."""
         task = self._loop.create_task(work)
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -20,7 +20,7 @@
 from dunlinnotch.coordination.requests.run import Ending, Run, Try
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
-from dunlinnotch.protocol.relay import Answered, NotRun, NotSent
+from dunlinnotch.protocol.relay import Answered, Broken, NotRun, NotSent
 from dunlinnotch.state.heads import Header
 
 if TYPE_CHECKING:
@@ -36,6 +36,7 @@
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.state.routes import RequestKind, RouteTable
+    from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Seconds
 
 #: Bodies up to this size are held, so that a refused request can be sent elsewhere.
@@ -328,15 +329,23 @@
                 left=left,
                 instance=instance.name,
                 still=lambda: self._still(run, pick),
+                said=lambda status: self._hear(trial, status),
                 asked=pick.asked,
                 once=not kind.repeatable,
             )
             trial.end = type(end).__name__
+            if isinstance(end, NotRun | Broken):
+                trial.status = end.status
             return end
         finally:
             instance.own -= 1
             trial.took = self._loop.time() - now
 
+    def _hear(self, trial: Try, status: TargetStatus) -> None:
+        """Take in what a target says of itself beside its answer."""
+        trial.rest = status.rest
+        self._seeker.heard(trial.pick.instance, status)
+
     async def _settle(
         self, run: Run, kind: RequestKind, instance: Instance, end: AttemptEnd
     ) -> Ending:
@@ -350,7 +359,6 @@
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
             run.may_have_run = run.ran_before
-            self._seeker.heard(instance, end.report)
             if end.elsewhere:
                 self._instances.leave(instance.name)
                 event(_log, "target-replaced", instance=instance.name, target=instance.address)
@@ -372,7 +380,6 @@
         """Pass an answer to the caller, to its last byte or not cleanly at all."""
         answer = answered.answer
         head = answer.head
-        self._seeker.heard(instance, answered.report)
         failed = head.status >= 500
         try:
             whole = await answer.whole_within(_READ_FIRST)
--- a/dunlinnotch/coordination/requests/run.py
+++ b/dunlinnotch/coordination/requests/run.py
@@ -46,12 +46,26 @@
 
 @dataclass(slots=True)
 class Try:
-    """One target that a request was sent to, for the log."""
+    """One target that a request was sent to, for the log.
+
+    Parameters
+    ----------
+    pick : Pick
+    began, took : float
+    end : str
+        Name of the :data:`~.relay.AttemptEnd`.
+    status : int
+        Of an answer that did not go to the caller; 0 if there was none.
+    rest : float
+        Seconds for which the target wanted nothing more.
+    """
 
     pick: Pick
     began: Seconds
     took: Seconds = 0.0
     end: str = ""
+    status: int = 0
+    rest: Seconds = 0.0
 
     def as_fields(self, arrived: Seconds) -> dict[str, object]:
         """Return what the log tells of it; ``began_ms`` counts from the request's arrival."""
@@ -65,6 +79,8 @@
             "began_ms": round((self.began - arrived) * 1000, 1),
             "took_ms": round(self.took * 1000, 1),
             "end": self.end,
+            "status": self.status,
+            "rest_s": self.rest,
         }
 
 
--- a/dunlinnotch/daemon/figures.py
+++ b/dunlinnotch/daemon/figures.py
@@ -37,6 +37,7 @@
     FigureInfo("probes_denied_total", "counter", "", "Probes for which no budget was left."),
     FigureInfo("connections_opened_total", "counter", "", "Connections opened to targets."),
     FigureInfo("entries_unreadable_total", "counter", "", "Rows that could not be read."),
+    FigureInfo("rests_asked_total", "counter", "", "Times that a target asked for rest."),
     FigureInfo("targets_ended_total", "counter", "", "Targets that ended under a request."),
     FigureInfo("requests_barred", "gauge", "", "Requests sent to no target: they end them."),
     FigureInfo("store_calls_total", "counter", "", "Calls made to the platform's store."),
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from dunlinnotch.protocol.http import end_to_end
 from dunlinnotch.protocol.relay import CallerRequest, Verdict
 from dunlinnotch.state.heads import Header
-from dunlinnotch.state.instances import TargetReport
+from dunlinnotch.state.target_status import TargetReport, TargetStatus
 from dunlinnotch.transport.stream.common import find
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
 
     from dunlinnotch.state.heads import AnswerHead
     from dunlinnotch.transport.stream.server import Exchange
+    from dunlinnotch.types import Seconds
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
@@ -23,8 +25,15 @@
 LOAD = "Instance-Load"
 NOT_RUN = "Not-Executed"
 INSTANCE = "Instance-Id"
+REST = "Retry-After"
 
 _MISDIRECTED = 421
+#: Statuses with which a worker turns a request away, and may ask for rest.
+_TURNED_AWAY = frozenset({429, 503})
+_SECONDS = re.compile(r"\d{1,9}(?:\.\d{1,9})?", re.ASCII)
+#: Rest is granted for at most so long, in seconds: a value that no worker means would put
+#: it out of use until it starts again.
+_REST_MOST_S = 3600.0
 #: Statuses that a client takes for a promise that the request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 _SET_BY_SYSTEM = frozenset({DEADLINE.lower(), EXPECT_INSTANCE.lower()})
@@ -43,7 +52,7 @@
         return None
     deadline = _DEFAULT_DEADLINE_S
     if stated is not None:
-        if not stated.isdigit() or len(stated) > _DIGITS_MAX:
+        if not _is_number(stated):
             return None
         deadline = int(stated) / 1000
     return CallerRequest(
@@ -95,16 +104,9 @@
         """Return the headers of an answer that go on to the client."""
         return end_to_end(head.headers, _FOR_SYSTEM)
 
-    def report(self, head: AnswerHead) -> TargetReport | None:
-        """Return the load that an answer tells."""
-        stated = find(head.headers, LOAD.lower())
-        if stated is None:
-            return None
-        figures = [part.strip() for part in stated.split(",")]
-        if len(figures) < 3 or not all(f.isdigit() and len(f) <= _DIGITS_MAX for f in figures):
-            return None
-        slowness = int(figures[3]) / _USUAL_SLOWNESS if len(figures) > 3 else 1.0
-        return TargetReport(int(figures[0]), int(figures[1]), int(figures[2]), slowness)
+    def status(self, head: AnswerHead) -> TargetStatus:
+        """Return what a worker says of itself beside an answer."""
+        return TargetStatus(_report(head), _rest(head))
 
     def probe_headers(self, address: str) -> Sequence[Header]:
         """Return the headers of a health check."""
@@ -115,3 +117,30 @@
         if find(head.headers, REQUEST_ID.lower()) is not None:
             return None
         return find(head.headers, INSTANCE.lower())
+
+
+def _is_number(text: str) -> bool:
+    """Return whether a header holds a whole number; other digits than 0 to 9 are none."""
+    return text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+
+
+def _report(head: AnswerHead) -> TargetReport | None:
+    """Return the load that an answer tells; ``None`` if it tells none that can be read."""
+    stated = find(head.headers, LOAD.lower())
+    if stated is None:
+        return None
+    figures = [part.strip() for part in stated.split(",")]
+    if len(figures) < 3 or not all(_is_number(figure) for figure in figures):
+        return None
+    slowness = int(figures[3]) / _USUAL_SLOWNESS if len(figures) > 3 else 1.0
+    return TargetReport(int(figures[0]), int(figures[1]), int(figures[2]), slowness)
+
+
+def _rest(head: AnswerHead) -> Seconds:
+    """Return for how long a worker that turns a request away wants nothing; 0 if not said."""
+    stated = find(head.headers, REST.lower())
+    if head.status not in _TURNED_AWAY or stated is None:
+        return 0.0
+    if _SECONDS.fullmatch(stated.strip()) is None:
+        return 0.0
+    return min(_REST_MOST_S, float(stated))
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -11,7 +11,7 @@
 
     from dunlinnotch.protocol.outcome import Reason
     from dunlinnotch.state.heads import AnswerHead, Header
-    from dunlinnotch.state.instances import TargetReport
+    from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Address, Seconds
 
 
@@ -77,8 +77,8 @@
     def answer_headers(self, head: AnswerHead) -> Sequence[Header]:
         """Return the headers of an answer that go on to the caller."""
 
-    def report(self, head: AnswerHead) -> TargetReport | None:
-        """Return the load that an answer tells, if it tells any."""
+    def status(self, head: AnswerHead) -> TargetStatus:
+        """Return what a target says of itself beside an answer."""
 
     def probe_headers(self, address: str) -> Sequence[Header]:
         """Return the headers of a probe."""
@@ -97,7 +97,8 @@
         Which target answered; ``None`` if there was no usable answer.
     well : bool
         Whether the target calls itself well.
-    report : TargetReport or None
+    status : TargetStatus, optional
+        What it said beside; ``None`` if there was no answer.
     detail : str
         Why there was no answer.
     link : object, optional
@@ -106,7 +107,7 @@
 
     instance: str | None
     well: bool
-    report: TargetReport | None
+    status: TargetStatus | None = None
     detail: str = ""
     link: object | None = None
 
@@ -137,7 +138,6 @@
 
     status: int
     elsewhere: bool
-    report: TargetReport | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +169,6 @@
     """The head of the answer came."""
 
     answer: RelayAnswer
-    report: TargetReport | None
 
 
 AttemptEnd = NotSent | NotRun | Broken | Answered
@@ -196,6 +195,7 @@
         left: Seconds,
         instance: str,
         still: Callable[[], bool],
+        said: Callable[[TargetStatus], None],
         asked: Asked | None = None,
         once: bool = False,
     ) -> AttemptEnd:
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -84,6 +84,10 @@
         Returns what is wrong with the next answer once ``faults`` is used up.
     ends_under : callable, optional
         Given a path, returns whether a request for it ends the worker that runs it.
+    turns_away : callable, optional
+        Returns whether the next request is turned away though there is room for it.
+    rest : str, default ""
+        Rest that it asks for as it turns a request away, as in ``Retry-After``.
     """
 
     slots: int = 3
@@ -97,6 +101,8 @@
     work_of: Callable[[str], float] | None = None
     draw_fault: Callable[[], WorkerFault] | None = None
     ends_under: Callable[[str], bool] | None = None
+    turns_away: Callable[[], bool] | None = None
+    rest: str = ""
 
 
 class WorkerStandin:
@@ -108,6 +114,8 @@
         Requests that it began to work on, in order.
     instance : str
         Its id.
+    arrivals, turned_away : list of float
+        Monotonic seconds of each request that arrived, and of each that it turned away.
     hold : asyncio.Event or None
         If set, work goes on until it is set.
     ended : asyncio.Event
@@ -118,7 +126,8 @@
         self.settings = settings or WorkerSettings()
         self.instance = f"i-{next(_numbers):08x}"
         self.ran: list[Ran] = []
-        self.arrived = 0
+        self.arrivals: list[float] = []
+        self.turned_away: list[float] = []
         self.probes = 0
         self.dropped = 0
         self.address = ""
@@ -190,7 +199,7 @@
             status = 200 if self.settings.healthy else 503
             exchange.reply(status, [Header("Instance-Id", self.instance), *self._load()], b"")
             return
-        self.arrived += 1
+        self.arrivals.append(exchange.arrived)
         request_id = exchange.header("attempt-id") or ""
         expected = exchange.header("expect-instance")
         if expected is not None and expected != self.instance:
@@ -199,7 +208,10 @@
         if self._running + self._waiting >= self.settings.slots + self.settings.queue:
             if self.settings.hangs_when_full:
                 await asyncio.sleep(_FOREVER_S)
-            exchange.reply(503, [Header("Not-Executed", "1"), _id(request_id)], b"")
+            self._turn_away(exchange, request_id)
+            return
+        if self.settings.turns_away is not None and self.settings.turns_away():
+            self._turn_away(exchange, request_id)
             return
         self._waiting += 1
         try:
@@ -224,10 +236,17 @@
             self._running -= 1
             self._slots.release()
 
+    def _turn_away(self, exchange: Exchange, request_id: str) -> None:
+        self.turned_away.append(asyncio.get_running_loop().time())
+        headers = [Header("Not-Executed", "1"), _id(request_id), *self._load()]
+        if self.settings.rest:
+            headers.append(Header("Retry-After", self.settings.rest))
+        exchange.reply(503, headers, b"")
+
     async def _run(self, exchange: Exchange, run: Ran) -> None:
         fault = self._next_fault()
         if fault is WorkerFault.EARLY:
-            exchange.reply(503, [Header("Not-Executed", "1"), _id(run.request_id)], b"")
+            self._turn_away(exchange, run.request_id)
             return
         run.body = b"".join([part async for part in exchange.body()])
         self.ran.append(run)
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from dunlinnotch.state.target_status import TargetReport
     from dunlinnotch.types import Address, Seconds
 
 #: Ended instances remembered, so that a late word does not bring one back.
@@ -19,25 +20,6 @@
 WordOrder = tuple[int, int]
 
 
-@dataclass(frozen=True, slots=True)
-class TargetReport:
-    """What a target says of its load.
-
-    Parameters
-    ----------
-    running, waiting, slots : int
-        Requests that it works on, requests that wait there, and how many it
-        works on at once.
-    slowness : float, default 1.0
-        How long work takes there now; 1 is as usual.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    slowness: float = 1.0
-
-
 @dataclass(frozen=True, slots=True)
 class ListedTarget:
     """What the platform's list says of one start of a target.
--- /dev/null
+++ b/dunlinnotch/state/target_status.py
@@ -0,0 +1,44 @@
+"""What a target says of itself, with an answer or when it is probed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dunlinnotch.types import Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What a target says of its load.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, requests that wait there, and how many it
+        works on at once.
+    slowness : float, default 1.0
+        How long work takes there now; 1 is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """All that a target says of itself beside one answer.
+
+    Parameters
+    ----------
+    report : TargetReport, optional
+        Its load, if it tells any.
+    rest : float, default 0.0
+        Seconds for which it wants nothing more from this box.
+    """
+
+    report: TargetReport | None = None
+    rest: Seconds = 0.0
--- a/dunlinnotch/trace/beliefs.py
+++ b/dunlinnotch/trace/beliefs.py
@@ -15,6 +15,7 @@
     "target-gone": "gone",
     "target-lapsed": "lapsed",
     "target-replaced": "replaced",
+    "target-asks-rest": "resting",
 }
 _PHASE_EVENTS = frozenset({"started", "serving", "stopping", "stopped"})
 _STORE_EVENTS = frozenset({"store-lost", "store-regained"})
--- a/dunlinnotch/trace/request.py
+++ b/dunlinnotch/trace/request.py
@@ -38,6 +38,10 @@
     report_age, began, took : float
         ``began`` counts from the request's arrival.
     end : str
+    status : int, default 0
+        Of an answer that did not go to the caller.
+    rest : float, default 0.0
+        Seconds for which the target wanted nothing more.
     """
 
     instance: str
@@ -49,6 +53,8 @@
     began: float
     took: float
     end: str
+    status: int = 0
+    rest: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +136,8 @@
             began=found["began_ms"],
             took=found["took_ms"],
             end=found["end"],
+            status=found.get("status", 0),
+            rest=found.get("rest_s", 0.0),
         )
         for found in line.fields.get("tries", ())
     )
@@ -195,10 +203,12 @@
         f"{line.text('settings_age_s')} s before"
     )
     for found in passage.tries:
+        said = f", status {found.status}" if found.status else ""
+        said += f", asked for {found.rest:g} s of rest" if found.rest else ""
         yield (
             f"  at {found.began:.1f} ms to {found.instance} ({found.why}, expected "
             f"{found.expected:g} times the usual, report {found.report_age:g} ms old): "
-            f"{found.end or 'no end'} after {found.took:.1f} ms"
+            f"{found.end or 'no end'} after {found.took:.1f} ms{said}"
         )
     yield from beliefs_as_text(passage.beliefs, line.time, indent="  ")
 
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -30,6 +30,7 @@
 
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, RelayBody, TargetDialect
     from dunlinnotch.state.heads import AnswerHead
+    from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Address, Seconds
 
 #: For what may run only once, a connection is used if it has rested for at most this long.
@@ -153,7 +154,7 @@
         pool = self.pool(address)
         link = await pool.take()
         if isinstance(link, NotSent):
-            return Asked(None, False, None, link.detail)
+            return Asked(None, well=False, detail=link.detail)
         done = False
         try:
             head = request_head("GET", path, self._dialect.probe_headers(pool.address), length=0)
@@ -165,14 +166,14 @@
                 instance = self._dialect.probed_instance(incoming.head)
                 if instance is not None:
                     break
-            report = self._dialect.report(incoming.head)
+            status = self._dialect.status(incoming.head)
             done = True
             if link.spoiled or link.over:
                 pool.give_back(link)
-                return Asked(instance, incoming.status == 200, report)
-            return Asked(instance, incoming.status == 200, report, link=link)
+                return Asked(instance, incoming.status == 200, status)
+            return Asked(instance, incoming.status == 200, status, link=link)
         except (LinkBrokenError, BodyCutError) as error:
-            return Asked(None, False, None, str(error))
+            return Asked(None, well=False, detail=str(error))
         finally:
             if not done:
                 pool.discard(link)
@@ -186,6 +187,7 @@
         left: Seconds,
         instance: str,
         still: Callable[[], bool],
+        said: Callable[[TargetStatus], None],
         asked: Asked | None = None,
         once: bool = False,
     ) -> AttemptEnd:
@@ -203,6 +205,9 @@
         still : callable
             Returns whether the request may go to the target now; asked once there is
             a connection, which may have taken its time.
+        said : callable
+            Told what the target says of itself, as soon as the head of an answer has
+            come and whatever becomes of that answer.
         asked : Asked, optional
             A probe whose connection is used.
         once : bool, default False
@@ -233,7 +238,7 @@
             else:
                 link.write(head)
                 sender = asyncio.create_task(_send_body(link, body, chunked=length is None))
-            ended = await self._await_answer(pool, link, request, sender)
+            ended = await self._await_answer(pool, link, request, sender, said)
         except _CallerBodyError as error:
             ended = Broken(Reason.BODY_BROKEN, str(error))
         except (LinkBrokenError, BodyCutError) as error:
@@ -265,6 +270,7 @@
         link: TargetLink,
         request: CallerRequest,
         sender: asyncio.Task[None] | None,
+        said: Callable[[TargetStatus], None],
     ) -> AttemptEnd:
         while True:
             incoming = await self._next_answer(link, sender)
@@ -275,15 +281,16 @@
                 link.spoiled = True
                 await incoming.skip()
                 continue
-            report = self._dialect.report(head)
+            if verdict is not Verdict.ELSEWHERE:
+                said(self._dialect.status(head))
             if verdict is Verdict.OURS:
                 passed = replace(head, headers=tuple(self._dialect.answer_headers(head)))
-                return Answered(LinkAnswer(pool, incoming, sender, passed), report)
+                return Answered(LinkAnswer(pool, incoming, sender, passed))
             if verdict is Verdict.UNUSABLE:
                 detail = f"an answer with status {incoming.status} that can't be passed on"
                 return Broken(Reason.TARGET_BROKEN, detail, incoming.status)
             await incoming.skip()
-            return NotRun(incoming.status, verdict is Verdict.ELSEWHERE, report)
+            return NotRun(incoming.status, verdict is Verdict.ELSEWHERE)
 
     @staticmethod
     async def _next_answer(link: TargetLink, sender: asyncio.Task[None] | None) -> Incoming:
--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -174,7 +174,7 @@
         stated = find(incoming.headers, "keep-alive") or ""
         for token in stated.split(","):
             name, _, value = token.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
                 self._keep_s = min(IDLE_MOST_S, max(0.0, int(value) - _IDLE_MARGIN_S))
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -13,7 +13,8 @@
 from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.protocol.relay import Asked
-from dunlinnotch.state.instances import InstanceList, ListedTarget, TargetReport
+from dunlinnotch.state.instances import InstanceList, ListedTarget
+from dunlinnotch.state.target_status import TargetReport, TargetStatus
 
 
 class Targets:
@@ -27,7 +28,8 @@
     async def ask(self, address, path):
         name = address.partition(":")[0]
         self.asked.append(name)
-        return Asked(name, True, TargetReport(self.running, 0, 3, self.slowness.get(name, 1.0)), "")
+        report = TargetReport(self.running, 0, 3, self.slowness.get(name, 1.0))
+        return Asked(name, True, TargetStatus(report))
 
     def release(self, address, asked):
         pass
@@ -186,7 +188,7 @@
 
     def answer(self, name, *, running=0, slowness=1.0):
         report = TargetReport(running, 0, 3, slowness)
-        self.waiting.pop(name).set_result(Asked(name, True, report, ""))
+        self.waiting.pop(name).set_result(Asked(name, True, TargetStatus(report)))
 
 
 def queued(names, act, **kwargs):
@@ -259,7 +261,7 @@
         await turns()
         (instance,) = instances.of("s")
         # One of three slots is taken; a third one would be slow.
-        seeker.heard(instance, TargetReport(1, 0, 3))
+        seeker.heard(instance, TargetStatus(TargetReport(1, 0, 3)))
         await turns()
         assert [task.done() for task in waiting] == [True, False, False]
         assert waiting[0].result().why == "fresh"
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -244,12 +244,12 @@
             await until(lambda: box.instances.of("loans"))
             worker.hold = asyncio.Event()
             held = [asyncio.create_task(call(box, "/read/", "held"))]
-            await until(lambda: worker.arrived == 1)
+            await until(lambda: len(worker.arrivals) == 1)
             # Its queue has room, but nothing is sent to wait at a target.
             answer = await call(box, "/read/", "more")
             assert answer.status == 503
             assert float(answer.headers["retry-after"]) > 0
-            assert worker.arrived == 1
+            assert len(worker.arrivals) == 1
             worker.hold.set()
             assert {a.status for a in await asyncio.gather(*held)} == {200}
 
@@ -523,3 +523,21 @@
             assert reached[slow[0]] == []
 
     run(test)
+
+
+def test_the_log_tells_a_target_that_asks_for_rest_from_one_that_is_full(caplog):
+    async def test():
+        async with stream_world(workers=0) as world:
+            caplog.set_level("INFO")
+            world.store.put("op", "config", document(2, **{"max-attempts": 1}))
+            await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="2.5"))
+            await until(lambda: world.boxes[0].instances.of("loans"))
+            await until(lambda: world.boxes[0].routes.table.version == 2)
+            await call(world.boxes[0], "/read/a", "one")
+            (line,) = logged(caplog, "route")
+            assert (line["tries"][0]["status"], line["tries"][0]["rest_s"]) == (503, 2.5)
+            (asked,) = logged(caplog, "target-asks-rest")[:1]
+            assert (asked["instance"], asked["rest_s"]) == (world.workers[0].instance, 2.5)
+            assert "dunlinnotch_rests_asked_total 1\n" in world.boxes[0].figures.text()
+
+    run(test)
--- a/tests/test_fresh.py
+++ b/tests/test_fresh.py
@@ -8,7 +8,8 @@
 
 from dunlinnotch.coordination.choosing.fresh import GOOD, FreshChooser, excess, expected_time
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
-from dunlinnotch.state.instances import Instance, ListedTarget, TargetReport
+from dunlinnotch.state.instances import Instance, ListedTarget
+from dunlinnotch.state.target_status import TargetReport
 
 NOW = 50.0
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from dunlinnotch.state.instances import InstanceList, ListedTarget, TargetReport
+from dunlinnotch.state.instances import InstanceList, ListedTarget
+from dunlinnotch.state.target_status import TargetReport
 
 READY = ListedTarget("i-1", "loans", "hall-a", "10.0.0.1:80", 3, False, 4, 0.0)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -232,18 +232,41 @@
         ("3,1", None),
         ("a,b,c", None),
         ("-1,0,3", None),
+        ("\xb2,0,3", None),
         (None, None),
     ],
 )
 def test_load_is_read_or_left(stated, report):
     headers = () if stated is None else (Header("Instance-Load", stated),)
-    found = WorkerDialect().report(AnswerHead(200, "", headers, 0))
+    found = WorkerDialect().status(AnswerHead(200, "", headers, 0)).report
     if report is None:
         assert found is None
     else:
         assert (found.running, found.waiting, found.slots, found.slowness) == report
 
 
+@pytest.mark.parametrize(
+    ("status", "stated", "rest"),
+    [
+        (503, "3", 3.0),
+        (503, " 0.25 ", 0.25),
+        (429, "2", 2.0),
+        (503, None, 0.0),
+        (200, "3", 0.0),
+        (503, "-1", 0.0),
+        (503, "nan", 0.0),
+        (503, "1e9", 0.0),
+        (503, "\xb2", 0.0),
+        (503, "Fri, 31 Dec 1999 23:59:59 GMT", 0.0),
+        (503, "9" * 40, 0.0),
+        (503, "999999999", 3600.0),
+    ],
+)
+def test_rest_is_read_where_a_request_is_turned_away(status, stated, rest):
+    headers = () if stated is None else (Header("Retry-After", stated),)
+    assert WorkerDialect().status(AnswerHead(status, "", headers, 0)).rest == rest
+
+
 # -- the store
 
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -11,7 +11,7 @@
 from dunlinnotch.cli.common import Exit
 from dunlinnotch.errors import ConfigError
 from dunlinnotch.trace.lines import read_lines
-from dunlinnotch.trace.request import beliefs_at, trace_request
+from dunlinnotch.trace.request import beliefs_at, trace_as_text, trace_request
 
 TRY_FIELDS = (
     "target",
@@ -177,3 +177,16 @@
 def test_a_file_that_is_not_there_is_named(tmp_path):
     with pytest.raises(ConfigError, match="none.log"):
         list(read_lines(tmp_path / "none.log"))
+
+
+def test_a_target_that_turned_a_request_away_is_shown_with_what_it_asked_for(tmp_path):
+    found = dict(zip(TRY_FIELDS, ("i-1", "good", 1.0, 0, 1.0, 3, 0.5, 0.6, "NotRun"), strict=True))
+    lines = [
+        line(1.0, "target-asks-rest", instance="i-1", service="records", rest_s=3.0),
+        route(2.0, "r-1", tries=[{**found, "status": 503, "rest_s": 3.0}]),
+    ]
+    log = tmp_path / "front-1.log"
+    log.write_text("".join(lines))
+    shown = "\n".join(trace_as_text(trace_request("r-1", [log])))
+    assert "NotRun after 0.6 ms, status 503, asked for 3 s of rest" in shown
+    assert "believed target i-1: resting for 1.00 s" in shown
