A target that says in an answer that it leaves gets nothing more

A target that leaves now says so in all its answers; its row may tell it later, or never say it (some rows only go).

Change: read from each answer's head with the load and the rest, also of answers that are not passed on and of probes. The target is left for good: no row of this start brings it back, however late its sequence; a new start does. The header stays here, as the load does. Told to no other box: the promise is each box's own, and the row tells them.

Test: ten cases (five kinds of answer, with probes and without) and the list's own; before, the target went on getting requests until its row said so.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -134,9 +134,8 @@
 
     def heard(self, instance: Instance, status: TargetStatus) -> None:
         """Take in what a target said with an answer; who waits may use it."""
-        if status.rest:
-            self._take_rest(instance, status.rest)
-        if status.report is None:
+        self._take_wishes(instance, status)
+        if status.report is None or instance.replaced:
             return
         instance.heard(status.report, self._loop.time())
         queue = self._queues.get(instance.listed.service)
@@ -319,8 +318,7 @@
         """Note what a probe told; return whether the target may be used."""
         status = asked.status or TargetStatus()
         if asked.instance is None:
-            if status.rest:
-                self._take_rest(instance, status.rest)
+            self._take_wishes(instance, status)
             self._chooser.failed(instance, self._loop.time())
             return False
         if asked.instance != instance.name:
@@ -336,13 +334,27 @@
                 )
             return False
         instance.well = asked.well
-        if status.rest:
-            self._take_rest(instance, status.rest)
+        self._take_wishes(instance, status)
         # A target that tells no load: what this box has there is all that is known.
         own = TargetReport(instance.own, 0, max(1, instance.listed.slots))
         instance.heard(status.report or own, self._loop.time())
         return not instance.replaced
 
+    def _take_wishes(self, instance: Instance, status: TargetStatus) -> None:
+        """Keep what a target wants: no work for a while, or none at all."""
+        if status.rest:
+            self._take_rest(instance, status.rest)
+        if status.leaving and self._instances.leave_for_good(instance.name):
+            event(
+                self._log,
+                "target-leaving",
+                instance=instance.name,
+                service=instance.listed.service,
+                target=instance.address,
+                sequence=instance.listed.sequence,
+                why="said by itself",
+            )
+
     def _take_rest(self, instance: Instance, rest: Seconds) -> None:
         """Grant a target the rest it asked for; who waits for it in vain need not wait."""
         # An idle target that turns requests away looks best of all by its load: without
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -26,6 +26,7 @@
 NOT_RUN = "Not-Executed"
 INSTANCE = "Instance-Id"
 REST = "Retry-After"
+LEAVING = "Server-Leaving"
 
 _MISDIRECTED = 421
 #: Statuses with which a worker turns a request away, and may ask for rest.
@@ -37,7 +38,7 @@
 #: Statuses that a client takes for a promise that the request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 _SET_BY_SYSTEM = frozenset({DEADLINE.lower(), EXPECT_INSTANCE.lower()})
-_FOR_SYSTEM = frozenset({LOAD.lower(), NOT_RUN.lower(), INSTANCE.lower()})
+_FOR_SYSTEM = frozenset({LOAD.lower(), NOT_RUN.lower(), INSTANCE.lower(), LEAVING.lower()})
 #: Deadline of a request that states none, in seconds.
 _DEFAULT_DEADLINE_S = 10.0
 _DIGITS_MAX = 9
@@ -106,7 +107,8 @@
 
     def status(self, head: AnswerHead) -> TargetStatus:
         """Return what a worker says of itself beside an answer."""
-        return TargetStatus(_report(head), _rest(head))
+        leaving = find(head.headers, LEAVING.lower()) == "1"
+        return TargetStatus(_report(head), _rest(head), leaving)
 
     def probe_headers(self, address: str) -> Sequence[Header]:
         """Return the headers of a health check."""
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -86,6 +86,8 @@
         Given a path, returns whether a request for it ends the worker that runs it.
     turns_away : callable, optional
         Returns whether the next request is turned away though there is room for it.
+    leaving : bool, default False
+        Whether it says in all its answers that it leaves.
     refuses_probes : bool, default False
         Whether it turns probes away as it does requests, without its id.
     rest : str, default ""
@@ -104,6 +106,7 @@
     draw_fault: Callable[[], WorkerFault] | None = None
     ends_under: Callable[[str], bool] | None = None
     turns_away: Callable[[], bool] | None = None
+    leaving: bool = False
     refuses_probes: bool = False
     rest: str = ""
 
@@ -203,7 +206,7 @@
                 exchange.reply(503, [Header("Not-Executed", "1"), *self._rest()], b"")
                 return
             status = 200 if self.settings.healthy else 503
-            exchange.reply(status, [Header("Instance-Id", self.instance), *self._load()], b"")
+            exchange.reply(status, [Header("Instance-Id", self.instance), *self._state()], b"")
             return
         self.arrivals.append(exchange.arrived)
         request_id = exchange.header("attempt-id") or ""
@@ -244,7 +247,7 @@
 
     def _turn_away(self, exchange: Exchange, request_id: str) -> None:
         self.turned_away.append(asyncio.get_running_loop().time())
-        headers = [Header("Not-Executed", "1"), _id(request_id), *self._load()]
+        headers = [Header("Not-Executed", "1"), _id(request_id), *self._state()]
         exchange.reply(503, headers + self._rest(), b"")
 
     def _rest(self) -> list[Header]:
@@ -280,13 +283,13 @@
     async def _answer(self, exchange: Exchange, run: Ran, fault: WorkerFault) -> None:
         body = f"{self.instance} ran {run.request_id}".encode()
         headers = [_id(run.request_id), Header("Response-Seal", f"seal-{run.request_id}")]
-        headers += self._load()
+        headers += self._state()
         simple: dict[WorkerFault, Callable[[], None]] = {
             WorkerFault.NONE: lambda: exchange.reply(200, headers, body),
             WorkerFault.LOST: exchange.abort,
             WorkerFault.ERROR: lambda: exchange.reply(500, headers, b"failed"),
             WorkerFault.BARE_503: lambda: exchange.reply(503, headers, b""),
-            WorkerFault.UNSEALED: lambda: exchange.reply(200, [headers[0]], body),
+            WorkerFault.UNSEALED: lambda: exchange.reply(200, [headers[0], *headers[2:]], body),
         }
         if fault in simple:
             simple[fault]()
@@ -318,11 +321,13 @@
                 await asyncio.sleep(0.01)
                 exchange.abort()
 
-    def _load(self) -> list[Header]:
-        if not self.settings.tells_load:
-            return []
-        figures = (self._running, self._waiting, self.settings.slots, self.settings.slowness)
-        return [Header("Instance-Load", ",".join(map(str, figures)))]
+    def _state(self) -> list[Header]:
+        """Return what it says of itself with each answer."""
+        headers = [Header("Server-Leaving", "1")] if self.settings.leaving else []
+        if self.settings.tells_load:
+            figures = (self._running, self._waiting, self.settings.slots, self.settings.slowness)
+            headers.append(Header("Instance-Load", ",".join(map(str, figures))))
+        return headers
 
 
 def _id(request_id: str) -> Header:
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -149,6 +149,16 @@
         """
         return self._drop(instance, next_word=True)
 
+    def leave_for_good(self, instance: str) -> bool:
+        """Give a target no new work until it has started again; return whether it could get any.
+
+        Parameters
+        ----------
+        instance : str
+        """
+        known = self._instances.get(instance)
+        return known is not None and self._take_leaving(known.listed)
+
     def suspend(self, instance: str) -> bool:
         """Give a target no new work until its last word, or a newer one, is heard again.
 
--- a/dunlinnotch/state/target_status.py
+++ b/dunlinnotch/state/target_status.py
@@ -38,7 +38,10 @@
         Its load, if it tells any.
     rest : float, default 0.0
         Seconds for which it wants nothing more from this box.
+    leaving : bool, default False
+        Whether it is about to end and wants no new work.
     """
 
     report: TargetReport | None = None
     rest: Seconds = 0.0
+    leaving: bool = False
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -161,3 +161,15 @@
     assert instances.rest_left("loans", 1.0) == 0.0
     instances.rest(instances.find("i-2"), 3.0)
     assert instances.rest_left("loans", 1.0) == 2.0
+
+
+@pytest.mark.parametrize("sequence", [4, 5, 1000])
+def test_a_target_that_says_itself_that_it_leaves_does_not_come_back_by_its_row(sequence):
+    instances = InstanceList()
+    instances.take(listed(born=1000), 0.0)
+    before = instances.find("i-1")
+    assert instances.leave_for_good("i-1")
+    assert before.replaced
+    assert not instances.leave_for_good("i-1")
+    assert not instances.take(listed(born=1000, sequence=sequence), 1.0)
+    assert instances.take(listed(born=2000, sequence=0), 2.0)
--- /dev/null
+++ b/tests/test_leaving_words.py
@@ -0,0 +1,52 @@
+"""Targets that say in their answers that they leave."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from dunlinnotch.standins.users.worker import WorkerFault
+from tests.stream_world import call, stream_world, until
+
+
+@pytest.mark.parametrize("probes", [True, False])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        WorkerFault.NONE,
+        WorkerFault.ERROR,
+        WorkerFault.UNSEALED,
+        WorkerFault.BARE_503,
+        WorkerFault.EARLY,
+    ],
+)
+def test_a_target_gets_nothing_more_once_any_answer_says_that_it_leaves(fault, probes, caplog):
+    async def test():
+        async with stream_world(workers=2) as world:
+            caplog.set_level("INFO")
+            box = world.boxes[0]
+            if not probes:
+                box.seeker._probe_path = lambda service: ""
+            await until(lambda: len(box.instances.of("loans")) == 2)
+            leaving = world.workers[0]
+            leaving.settings.leaving = True
+            number = 0
+            while box.instances.find(leaving.instance) is not None:
+                leaving.settings.faults = [fault]
+                number += 1
+                answer = await call(box, "/read/a", f"before-{number}")
+                assert answer.status == 200
+                assert "server-leaving" not in answer.headers
+            # A row written before, or read again with a later sequence, changes nothing.
+            row = leaving.row("loans", zone="hall-a", sequence=77)
+            version = world.store.put("servers", leaving.instance, row)
+            await until(lambda: box.tables["servers"].version >= version)
+            arrived, probed = len(leaving.arrivals), leaving.probes
+            for number in range(20):
+                assert (await call(box, "/read/a", f"after-{number}")).status == 200
+            assert (len(leaving.arrivals), leaving.probes) == (arrived, probed)
+            lines = [r.fields for r in caplog.records if r.message == "target-leaving"]
+            assert [line["why"] for line in lines] == ["said by itself"]
+
+    asyncio.run(test())
