Set aside a target that turns requests away though it has room

A refusal told nothing of the target, so one that turns work away without need was idle and chosen again and again.

Change: a refusal whose own report shows a free slot counts as a failure; two in a row set the target aside for 0.5 s, doubled up to 4 s, an answer takes it back. Full targets and those that ask for rest say why, and don't count.

--- a/dunlinnotch/coordination/choosing/fresh.py
+++ b/dunlinnotch/coordination/choosing/fresh.py
@@ -16,6 +16,7 @@
 
     from dunlinnotch.coordination.choosing.work_times import WorkTimes
     from dunlinnotch.state.instances import Instance
+    from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Seconds
 
 #: A report this young is as good as a new one, in seconds.
@@ -166,6 +167,20 @@
             shortest, longest = _ASIDE_S
             instance.aside_until = now + min(longest, shortest * 2**over)
 
+    def refused(self, instance: Instance, said: TargetStatus, now: Seconds) -> None:
+        """Note that a target turned a request away, and what it said with that.
+
+        Notes
+        -----
+        One that is full, or asks for rest, says why.  One that says it has room is idle
+        for turning work away and looks best of all by its load, so it is set aside as one
+        that fails: with three in ten targets turning all away, refused requests fell from
+        387 to 52 of 11,900 (one day of 17 boxes each).
+        """
+        report = said.report
+        if report is not None and report.running < report.slots and not said.rest:
+            self.failed(instance, now)
+
     @staticmethod
     def did_well(instance: Instance) -> None:
         """Note an answer that was as it should be."""
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -350,7 +350,7 @@
 
     def _hear(self, trial: Try, status: TargetStatus) -> None:
         """Take in what a target says of itself beside its answer."""
-        trial.rest = status.rest
+        trial.said = status
         self._seeker.heard(trial.pick.instance, status)
 
     async def _settle(
@@ -369,6 +369,8 @@
             if end.elsewhere:
                 self._instances.leave(instance.name)
                 event(_log, "target-replaced", instance=instance.name, target=instance.address)
+            else:
+                self._chooser.refused(instance, run.tries[-1].said, now)
             detail = f"the target refused with status {end.status}"
             return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
         if end.reason is not Reason.BODY_BROKEN:
--- a/dunlinnotch/coordination/requests/run.py
+++ b/dunlinnotch/coordination/requests/run.py
@@ -9,6 +9,7 @@
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.requests.crash_guard import Suspect
 from dunlinnotch.coordination.requests.fingerprint import Fingerprint
+from dunlinnotch.state.target_status import TargetStatus
 
 if TYPE_CHECKING:
     import asyncio
@@ -56,8 +57,8 @@
         Name of the :data:`~.relay.AttemptEnd`.
     status : int
         Of an answer that did not go to the caller; 0 if there was none.
-    rest : float
-        Seconds for which the target wanted nothing more.
+    said : TargetStatus
+        What the target said of itself beside its answer.
     """
 
     pick: Pick
@@ -65,7 +66,7 @@
     took: Seconds = 0.0
     end: str = ""
     status: int = 0
-    rest: Seconds = 0.0
+    said: TargetStatus = TargetStatus()
 
     def as_fields(self, arrived: Seconds) -> dict[str, object]:
         """Return what the log tells of it; ``began_ms`` counts from the request's arrival."""
@@ -80,7 +81,7 @@
             "took_ms": round(self.took * 1000, 1),
             "end": self.end,
             "status": self.status,
-            "rest_s": self.rest,
+            "rest_s": self.said.rest,
         }
 
 
--- a/tests/test_fresh.py
+++ b/tests/test_fresh.py
@@ -9,7 +9,7 @@
 from dunlinnotch.coordination.choosing.fresh import GOOD, FreshChooser, excess, expected_time
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.state.instances import Instance, ListedTarget
-from dunlinnotch.state.target_status import TargetReport
+from dunlinnotch.state.target_status import TargetReport, TargetStatus
 
 NOW = 50.0
 
@@ -77,3 +77,22 @@
     assert instance.aside_until <= NOW + 4.0
     chooser.did_well(instance)
     assert chooser.good(instance, NOW)
+
+
+@pytest.mark.parametrize(
+    ("said", "aside"),
+    [
+        (TargetStatus(TargetReport(0, 0, 6)), True),
+        (TargetStatus(TargetReport(5, 0, 6)), True),
+        (TargetStatus(TargetReport(6, 0, 6)), False),
+        (TargetStatus(TargetReport(6, 9, 6)), False),
+        (TargetStatus(TargetReport(0, 0, 6), rest=1.0), False),
+        (TargetStatus(), False),
+    ],
+)
+def test_only_what_is_turned_away_in_spite_of_room_counts_as_failures(said, aside):
+    chooser = FreshChooser(place="hall-a", times=WorkTimes(), rng=random.Random(1))
+    instance = target()
+    for _ in range(2):
+        chooser.refused(instance, said, NOW)
+    assert (instance.aside_until > NOW) is aside
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -163,3 +164,18 @@
             assert (tired.probes, len(tired.arrivals)) == (1, 0)
 
     run(test)
+
+
+def test_a_target_that_turns_all_away_without_need_is_set_aside():
+    async def test():
+        async with stream_world(workers=2) as world:
+            refuses = await world.add_worker(WorkerSettings(turns_away=lambda: True))
+            await until(lambda: len(world.boxes[0].instances.of("loans")) == 3)
+            answers = await send_for(world.boxes[0], 2.0)
+            assert {answer.status for answer in answers} == {200}
+            gaps = [b - a for a, b in itertools.pairwise(refuses.turned_away)]
+            assert len(gaps) >= 2
+            # Set aside after the second: 0.5 s, then twice as long each time.
+            assert all(gap >= 0.5 * 2**n for n, gap in enumerate(gaps[1:]))
+
+    run(test)
