The daemon on threads grants rest too; one function reads it for both

LoadReport has the rest asked for; a target that rests is no choice, not as the last resort either, gets no trial and no probe, until its rest is over or it has started anew.

Reading `Retry-After` moved from the platform's headers to protocol/http.py, without change of what it returns.

Tests: three new ones (pool, new start, client), all failed before for want of the field. Left: where all targets rest, a call waits for the expected time or is refused by it, not with the time of the first return.

--- a/dunlinnotch/coordination/choosing/least_load.py
+++ b/dunlinnotch/coordination/choosing/least_load.py
@@ -269,7 +269,7 @@
     def _due_trial(self, now: Seconds, exclude: Collection[Address]) -> TargetRecord | None:
         for target in self.sharing():
             due = target.aside and not target.trial_running and now >= target.next_trial
-            if due and not target.leaving and target.address not in exclude:
+            if due and not target.wants_nothing(now) and target.address not in exclude:
                 return target
         return None
 
@@ -282,12 +282,12 @@
                 target,
             )
             for target in self._targets.get(place, ())
-            if not (target.leaving or target.aside or target.address in exclude)
+            if not (target.wants_nothing(now) or target.aside or target.address in exclude)
         ]
 
     def _last_resort(self, now: Seconds, exclude: Collection[Address]) -> Choice | None:
         """Use a target set aside rather than none at all."""
-        aside = [t for t in self.sharing() if not (t.leaving or t.address in exclude)]
+        aside = [t for t in self.sharing() if not (t.wants_nothing(now) or t.address in exclude)]
         if not aside:
             return None
         target = min(aside, key=lambda t: (t.own, self._rng.random()))
--- a/dunlinnotch/platform/dialect.py
+++ b/dunlinnotch/platform/dialect.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
-from dunlinnotch.protocol.http import end_to_end
+from dunlinnotch.protocol.http import TURNED_AWAY, end_to_end, rest_asked
 from dunlinnotch.protocol.relay import CallerRequest, Verdict
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.target_status import TargetReport, TargetStatus
@@ -16,7 +15,6 @@
 
     from dunlinnotch.state.heads import AnswerHead
     from dunlinnotch.transport.stream.server import Exchange
-    from dunlinnotch.types import Seconds
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
@@ -29,12 +27,6 @@
 LEAVING = "Server-Leaving"
 
 _MISDIRECTED = 421
-#: Statuses with which a worker turns a request away, and may ask for rest.
-_TURNED_AWAY = frozenset({429, 503})
-_SECONDS = re.compile(r"\d{1,9}(?:\.\d{1,9})?", re.ASCII)
-#: Rest is granted for at most so long, in seconds: a value that no worker means would put
-#: it out of use until it starts again.
-_REST_MOST_S = 3600.0
 #: Statuses that a client takes for a promise that the request has not run.
 _PROMISES = frozenset({408, 421, 429, 503})
 _SET_BY_SYSTEM = frozenset({DEADLINE.lower(), EXPECT_INSTANCE.lower()})
@@ -108,7 +100,8 @@
     def status(self, head: AnswerHead) -> TargetStatus:
         """Return what a worker says of itself beside an answer."""
         leaving = find(head.headers, LEAVING.lower()) == "1"
-        return TargetStatus(_report(head), _rest(head), leaving)
+        rest = rest_asked(head.status, find(head.headers, REST.lower()))
+        return TargetStatus(_report(head), rest, leaving)
 
     def probe_headers(self, address: str) -> Sequence[Header]:
         """Return the headers of a health check."""
@@ -124,7 +117,7 @@
         """Return whether a worker turned a health check away as it does requests."""
         # What answers a request carries its id.
         of_request = find(head.headers, REQUEST_ID.lower()) is not None
-        return head.status in _TURNED_AWAY and not of_request
+        return head.status in TURNED_AWAY and not of_request
 
 
 def _is_number(text: str) -> bool:
@@ -142,13 +135,3 @@
         return None
     slowness = int(figures[3]) / _USUAL_SLOWNESS if len(figures) > 3 else 1.0
     return TargetReport(int(figures[0]), int(figures[1]), int(figures[2]), slowness)
-
-
-def _rest(head: AnswerHead) -> Seconds:
-    """Return for how long a worker that turns a request away wants nothing; 0 if not said."""
-    stated = find(head.headers, REST.lower())
-    if head.status not in _TURNED_AWAY or stated is None:
-        return 0.0
-    if _SECONDS.fullmatch(stated.strip()) is None:
-        return 0.0
-    return min(_REST_MOST_S, float(stated))
--- a/dunlinnotch/protocol/attempt.py
+++ b/dunlinnotch/protocol/attempt.py
@@ -10,7 +10,7 @@
 
     from dunlinnotch.protocol.http import AnswerHead, Call
     from dunlinnotch.protocol.outcome import Reason
-    from dunlinnotch.types import Address
+    from dunlinnotch.types import Address, Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,12 +25,15 @@
     cold : bool
     incarnation : str or None
         Changes with each start of the target.
+    rest : float, default 0.0
+        Seconds for which it wants nothing more from this box.
     """
 
     in_flight: int | None = None
     leaving: bool = False
     cold: bool = False
     incarnation: str | None = None
+    rest: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dunlinnotch/protocol/http.py
+++ b/dunlinnotch/protocol/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -96,6 +97,14 @@
     length: int | None = 0
 
 
+#: Statuses with which a target turns a request away, and may ask for rest.
+TURNED_AWAY = frozenset({429, 503})
+_SECONDS = re.compile(r"\d{1,9}(?:\.\d{1,9})?", re.ASCII)
+#: Rest is granted for at most so long, in seconds: a value that no target means would put
+#: it out of use until it starts again.
+_REST_MOST_S = 3600.0
+
+
 def end_to_end(headers: Iterable[Header], own: frozenset[str]) -> tuple[Header, ...]:
     """Return the headers that pass through a box.
 
@@ -126,4 +135,34 @@
     return tuple(headers)
 
 
-__all__ = ["AnswerHead", "Call", "Header", "Outcome", "Reason", "end_to_end", "refusal_headers"]
+def rest_asked(status: int, stated: str | None) -> Seconds:
+    """Return for how long a target that turns a request away wants nothing more.
+
+    Parameters
+    ----------
+    status : int
+    stated : str or None
+        The value of ``Retry-After``, in seconds; fractions are allowed.
+
+    Returns
+    -------
+    float
+        Seconds, 0 if it asks for none, or for what can't be read.
+    """
+    if status not in TURNED_AWAY or stated is None:
+        return 0.0
+    if _SECONDS.fullmatch(stated.strip()) is None:
+        return 0.0
+    return min(_REST_MOST_S, float(stated))
+
+
+__all__ = [
+    "AnswerHead",
+    "Call",
+    "Header",
+    "Outcome",
+    "Reason",
+    "end_to_end",
+    "refusal_headers",
+    "rest_asked",
+]
--- a/dunlinnotch/state/targets.py
+++ b/dunlinnotch/state/targets.py
@@ -81,6 +81,7 @@
     warm_from: Seconds = -math.inf
     warm_up: Seconds = 0.0
     last_used: Seconds = -math.inf
+    rest_until: Seconds = -math.inf
 
     @property
     def own(self) -> int:
@@ -185,11 +186,16 @@
             self.leaving = False
             self.told_leaving = False
             self.doubt = 0.0
+            self.rest_until = -math.inf
         if incarnation is not None:
             self.incarnation = incarnation
         self.told_leaving = self.told_leaving or leaving
         self.leaving = self.leaving or leaving
 
+    def wants_nothing(self, now: Seconds) -> bool:
+        """Return whether the target leaves or rests."""
+        return self.leaving or now < self.rest_until
+
     def hear_leaving(self, incarnation: str | None) -> None:
         """Take in a peer's word that this start of the target leaves."""
         if incarnation is not None and self.incarnation not in (None, incarnation):
--- a/dunlinnotch/transport/targets.py
+++ b/dunlinnotch/transport/targets.py
@@ -354,8 +354,8 @@
 def read_report(response: BaseHTTPResponse) -> LoadReport:
     """Return what a target says of itself in an answer's headers.
 
-    Source: the headers :data:`~dunlinnotch.protocol.http.LOAD` (a count) and
-    :data:`~dunlinnotch.protocol.http.TARGET_STATE`.  Values that make no
+    Source: the headers :data:`~dunlinnotch.protocol.http.LOAD` (a count),
+    :data:`~dunlinnotch.protocol.http.TARGET_STATE` and ``Retry-After``.  Values that make no
     sense are passed over.
     """
     load = response.headers.get(http.LOAD, "")
@@ -365,6 +365,7 @@
         leaving=state == "draining",
         cold=state == "cold",
         incarnation=response.headers.get(http.TARGET_INCARNATION),
+        rest=http.rest_asked(response.status, response.headers.get("Retry-After")),
     )
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dunlinnotch.coordination.budgets.probes import ProbeBudget
 from dunlinnotch.coordination.budgets.retries import RetryBudget
 from dunlinnotch.coordination.choosing.limits import Ticket, TicketState, WaitQueue
 from dunlinnotch.coordination.choosing.pool import ServicePool
@@ -97,6 +98,27 @@
     assert second.state is TicketState.WAITING
 
 
+def test_a_target_that_rests_gets_no_call_and_no_probe(pool, clock):
+    tired, other = pool.records()
+    pool.heard(tired, LoadReport(in_flight=0, rest=3.0))
+    granted, waiting = fill(pool)
+    assert {call.grant.choice.target.address for call in granted} == {other.address}
+    assert pool.again(exclude=[other.address], kind="a", repeatable=True) is None
+    assert not ProbeBudget().wanted(tired, clock())
+    clock.advance(3.1)
+    assert ProbeBudget().wanted(tired, clock())
+    pool.pump()
+    assert waiting.grant.choice.target is tired
+
+
+def test_a_new_start_of_a_target_does_not_rest(pool, clock):
+    tired, _ = pool.records()
+    pool.heard(tired, LoadReport(incarnation="1", rest=3.0))
+    assert tired.wants_nothing(clock())
+    pool.heard(tired, LoadReport(incarnation="2"))
+    assert not tired.wants_nothing(clock())
+
+
 def test_call_that_would_wait_too_long_is_refused_at_once_with_when_to_come_back(pool, clock):
     granted, _ = fill(pool)
     pool.enter(ticket(give_up=clock() + 100))
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -188,6 +188,17 @@
     assert pools.open_connections(target.address) == 0
 
 
+def test_a_refusal_tells_for_how_long_the_target_wants_nothing(target):
+    sender, _ = client()
+    target.answers = [
+        b"HTTP/1.1 503 Busy\r\nDunlinnotch-Refused: shed\r\n"
+        b"Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n"
+    ]
+    result = attempt(sender, target, make(1))
+    assert isinstance(result, Refused)
+    assert result.report.rest == 2.5
+
+
 def test_marked_refusal_and_bare_503_are_told_apart(target):
     sender, _ = client()
     refusal = b"HTTP/1.1 503 Busy\r\nDunlinnotch-Refused: shed\r\nContent-Length: 0\r\n\r\n"
