Lab: targets that ask for rest, refuse or say that they leave; the referee judges more

Targets of the lab turn requests away with and without rest asked for (some of it unreadable), and say in their answers that they leave while their row goes. Each is a trouble that is drawn, and excuses nothing.

The referee is a package split by what is judged (answers, work at targets, settings, stops, budgets), each check a short function over the same index. New promises: rest, tries of a request, repeats at a service in each window, time given to targets; drain is also judged by the target's own word. A test for each, on both sides of its bound. The checks that were there are moved as they were; attempts of one older test got a time that fits their runs, since the new check of time judges them too.

--- a/dunlinnotch/lab/day.py
+++ b/dunlinnotch/lab/day.py
@@ -39,6 +39,12 @@
     ANSWER_TWICE = "answer-twice"
     #: Health checks say no though the targets are well.
     HEALTH_LIES = "health-lies"
+    #: Targets turn a share ``x`` of their requests away though they have room.
+    TARGET_REFUSES = "target-refuses"
+    #: The same, and they ask for rest with that.
+    TARGET_RESTS = "target-rests"
+    #: Targets say in their answers only that they leave; their rows go, and they serve on.
+    TARGET_LEAVES = "target-leaves"
     #: Targets announce that they leave, end, and others take their place.
     RELEASE = "release"
     #: Boxes are killed and started again afterwards.
@@ -70,6 +76,9 @@
     {
         TroubleKind.BURST,
         TroubleKind.RELEASE,
+        TroubleKind.TARGET_REFUSES,
+        TroubleKind.TARGET_RESTS,
+        TroubleKind.TARGET_LEAVES,
         TroubleKind.DEADLY_REQUEST,
         TroubleKind.BOX_STOP,
         TroubleKind.SETTINGS_MOVE,
@@ -105,6 +114,7 @@
     deadline_ms: float = Field(2000, ge=10, le=120000)
     rank: int = Field(1, ge=0, le=9, description="0 goes first.")
     retries: int = Field(2, ge=0, le=10, description="Times that a caller asks again.")
+    attempts: int = Field(3, ge=1, le=9, description="Targets that one attempt may go to.")
 
 
 class TroublePlan(_Part):
@@ -126,6 +136,9 @@
     grace: float = Field(6.0, gt=0, description="From the stop signal to the end of a box.")
     recovery: float = Field(8.0, gt=0)
     probes_per_s: float = Field(60.0, gt=0, description="Probes of one target, all boxes.")
+    repeat_ratio: float = Field(0.2, ge=0, description="Repeats for each request of a service.")
+    repeat_slack: float = Field(60.0, ge=0, description="Repeats beyond that share.")
+    repeat_window: float = Field(10.0, gt=0)
 
 
 class Day(_Part):
--- a/dunlinnotch/lab/draw.py
+++ b/dunlinnotch/lab/draw.py
@@ -18,6 +18,8 @@
     TroubleKind.ANSWER_LOST: (0.02, 0.3),
     TroubleKind.ANSWER_CUT: (0.02, 0.3),
     TroubleKind.ANSWER_TWICE: (0.02, 0.3),
+    TroubleKind.TARGET_REFUSES: (0.2, 1.0),
+    TroubleKind.TARGET_RESTS: (0.2, 1.0),
     TroubleKind.STORE_SLOW: (0.05, 0.5),
     TroubleKind.DEADLY_REQUEST: (2.0, 8.0),
 }
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -15,6 +15,7 @@
 from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
     from dunlinnotch.lab.day import Day, KindPlan, ServicePlan
@@ -130,6 +131,9 @@
             **{
                 "terms.bounds.grace": f"{self.day.bounds.grace:g}s",
                 "terms.bounds.probes-per-s": f"{self.day.bounds.probes_per_s:g}",
+                "terms.bounds.budget-ratio": f"{self.day.bounds.repeat_ratio:g}",
+                "terms.bounds.budget-slack": f"{self.day.bounds.repeat_slack:g}",
+                "terms.bounds.budget-window": f"{self.day.bounds.repeat_window:g}s",
             },
         )
         self.store_links[name] = link
@@ -178,8 +182,15 @@
         """Have a target say that it leaves."""
         target.sequence += 1
         target.leaving_at = self._loop.time()
+        target.worker.settings.leaving = True
         self._list(target, "draining")
 
+    def vanish(self, target: Target) -> None:
+        """Have a target's row go; the target itself says that it leaves, and serves on."""
+        target.leaving_at = self._loop.time()
+        target.worker.settings.leaving = True
+        self.store.remove("servers", target.worker.instance)
+
     async def end_target(self, target: Target) -> None:
         """End a target; what it ran is kept for the referee."""
         self.targets.remove(target)
@@ -188,12 +199,12 @@
         await target.link.close()
         await target.worker.close()
 
-    async def release(self, target: Target) -> None:
+    async def release(self, target: Target, *, announce: Callable[[Target], None]) -> None:
         """Have a target leave as planned, and another take its place."""
         target.ending = True
         plan = next(s for s in self.day.services if s.name == target.service)
         await self.add_target(plan, target.place)
-        self.announce_leaving(target)
+        announce(target)
         await asyncio.sleep(self.day.bounds.drain + _SERVES_ON_S)
         while target.worker.busy:
             await asyncio.sleep(_SERVES_ON_S / 10)
@@ -233,6 +244,7 @@
                 "safe" if kind.repeatable else "unsafe",
                 target_latency_ms=kind.target_latency_ms,
                 timeout_ms=kind.deadline_ms,
+                attempts=kind.attempts,
                 priority=kind.rank,
             )
             for kind in self.day.kinds
--- /dev/null
+++ b/dunlinnotch/lab/referee/__init__.py
@@ -0,0 +1,21 @@
+"""Check the promises from what callers and targets saw.
+
+A finding names the promise, the attempt or target, and what was seen.  What a
+box did while it was killed, frozen, stopped or cut off from the store, and for
+``contact`` seconds after, is excused where a promise holds in time only.
+"""
+
+from __future__ import annotations
+
+from dunlinnotch.lab.referee import answers, budgets, settings, stops, work
+from dunlinnotch.lab.referee.common import TIMED, Evidence, Finding, Promise, Seen, Window
+
+__all__ = ["TIMED", "Evidence", "Finding", "Promise", "Window", "judge"]
+
+_CHECKS = (answers.check, work.check, settings.check, stops.check, budgets.check)
+
+
+def judge(evidence: Evidence) -> list[Finding]:
+    """Return all broken promises of one day."""
+    seen = Seen(evidence)
+    return [finding for check in _CHECKS for finding in check(seen)]
--- /dev/null
+++ b/dunlinnotch/lab/referee/common.py
@@ -0,0 +1,171 @@
+"""What was seen in a day, indexed for the checks, and what a check finds."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from dunlinnotch.lab.day import PLANNED, TroubleKind
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterator, Sequence
+
+    from dunlinnotch.lab.day import Day, KindPlan
+    from dunlinnotch.lab.fleet import Target
+    from dunlinnotch.standins.users.caller import AttemptRecord
+    from dunlinnotch.standins.users.worker import Arrival, Ran
+    from dunlinnotch.types import Address, Seconds
+
+#: Time beyond a bound that is put down to timers, in seconds.
+SLACK_S = 0.3
+#: Troubles after which a box may have forgotten what a target told it, or hears it late.
+BOX_OR_LINK = frozenset(
+    {
+        TroubleKind.BOX_KILL,
+        TroubleKind.BOX_FREEZE,
+        TroubleKind.BOX_STOP,
+        TroubleKind.TARGET_SILENT,
+        TroubleKind.TARGET_RESET,
+    }
+)
+
+
+class Promise(StrEnum):
+    """What must hold."""
+
+    #: The whole answer, to its own request only.
+    WHOLE = "whole-answer"
+    #: Nothing runs that no caller sent, or not as it was sent.
+    AS_SENT = "as-sent"
+    #: What may not be repeated runs at most once.
+    ONCE = "at-most-once"
+    #: What is refused as not run has not run.
+    NOT_RUN = "refused-as-not-run"
+    #: A leaving target gets nothing new, by whichever way its leaving was told.
+    DRAIN = "drain"
+    #: A change of the settings is in force everywhere and stays so.
+    SETTINGS = "settings-in-force"
+    #: A planned stop cuts off no request.
+    STOP = "planned-stop"
+    #: Nothing is held beyond its time.
+    IN_TIME = "in-time"
+    #: A request under which three targets ended ends no more than three others.
+    BARRED = "barred"
+    #: A target that asks a box for rest gets nothing from it until that is over.
+    REST = "rest"
+    #: A request goes to no more targets than its kind allows.
+    TRIES = "tries"
+    #: Repeats at a service stay within their budget, those of all boxes together.
+    REPEATS = "repeat-budget"
+    #: A target is given no more time than the caller has left.
+    TIME_GIVEN = "time-given"
+    #: Probes of a target stay within their budget.
+    PROBES = "probe-budget"
+    #: Callers are served again once the troubles are over.
+    RECOVERY = "recovery"
+
+
+#: Promises with a time in them: on a machine that is too busy they may seem broken.
+TIMED = frozenset(
+    {
+        Promise.DRAIN,
+        Promise.SETTINGS,
+        Promise.IN_TIME,
+        Promise.BARRED,
+        Promise.REST,
+        Promise.TIME_GIVEN,
+        Promise.PROBES,
+        Promise.RECOVERY,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One broken promise."""
+
+    promise: Promise
+    subject: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A time in which something was wrong, in monotonic seconds."""
+
+    kind: TroubleKind
+    start: Seconds
+    end: Seconds
+
+    def touches(self, start: Seconds, end: Seconds) -> bool:
+        """Return whether a span of time meets this one."""
+        return self.start <= end and start <= self.end
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What was seen in a day.
+
+    Parameters
+    ----------
+    began, ended : float
+        Of the traffic.
+    moves : dict of str to sequence of (float, str)
+        For each kind, when it went to which service.
+    deadly : sequence of AttemptRecord
+        Attempts of a request that ends the targets that run it; nobody misses them.
+    """
+
+    day: Day
+    began: Seconds
+    ended: Seconds
+    attempts: Sequence[AttemptRecord]
+    targets: Sequence[Target]
+    windows: Sequence[Window]
+    moves: dict[str, list[tuple[Seconds, str]]]
+    deadly: Sequence[AttemptRecord] = ()
+
+
+class Seen:
+    """What was seen in a day, found by request, kind and target.
+
+    Parameters
+    ----------
+    evidence : Evidence
+
+    Attributes
+    ----------
+    attempts : dict of str to AttemptRecord
+        By id, those of requests that end targets included.
+    ran : dict of str to list of (Target, Ran)
+        By id, where each was run.
+    """
+
+    def __init__(self, evidence: Evidence) -> None:
+        self.evidence = evidence
+        self.day = evidence.day
+        self.attempts = {a.id: a for a in (*evidence.attempts, *evidence.deadly)}
+        self.kinds: dict[str, KindPlan] = {kind.name: kind for kind in self.day.kinds}
+        self.ran: dict[str, list[tuple[Target, Ran]]] = defaultdict(list)
+        for target in evidence.targets:
+            for run in target.worker.ran:
+                self.ran[run.request_id].append((target, run))
+
+    def by_box(self, target: Target) -> Iterator[tuple[Address, list[Arrival]]]:
+        """Yield what reached a target, for each box that sent it."""
+        boxes: dict[Address, list[Arrival]] = defaultdict(list)
+        for arrival in target.worker.arrivals:
+            attempt = self.attempts.get(arrival.request_id)
+            if attempt is not None:
+                boxes[attempt.box].append(arrival)
+        yield from boxes.items()
+
+    def unplanned(self, start: Seconds, end: Seconds) -> bool:
+        """Return whether anything but planned work went on in a span of time."""
+        return any(w.kind not in PLANNED and w.touches(start, end) for w in self.evidence.windows)
+
+    def troubled(self, kinds: Collection[TroubleKind], start: Seconds, end: Seconds) -> bool:
+        """Return whether a trouble of some kinds went on in a span of time."""
+        return any(w.kind in kinds and w.touches(start, end) for w in self.evidence.windows)
--- /dev/null
+++ b/dunlinnotch/lab/referee/work.py
@@ -0,0 +1,132 @@
+"""Checks of the work that reached targets, and of what they had told boxes before."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from dunlinnotch.lab.referee.common import BOX_OR_LINK, SLACK_S, Finding, Promise
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from dunlinnotch.lab.fleet import Target
+    from dunlinnotch.lab.referee.common import Seen
+    from dunlinnotch.standins.users.worker import Arrival
+    from dunlinnotch.types import Address, Seconds
+
+#: Targets that may end under one request before all boxes are to know it, and after.
+_ENDED_MOST = 3
+#: What was under way when a target asked for rest may arrive for so long, in seconds.
+_UNDER_WAY_S = 0.5
+#: Requests that may reach a target in one rest all the same.
+_IN_REST_MOST = 2
+#: Time that a target is given beyond what its caller has left, at most, in seconds.
+_GIVEN_S = 0.5
+
+
+def check(seen: Seen) -> Iterator[Finding]:
+    """Yield what is wrong with the work that reached targets."""
+    yield from _once(seen)
+    yield from _as_sent(seen)
+    yield from _time_given(seen)
+    yield from _drain(seen)
+    yield from _barred(seen)
+    for target in seen.evidence.targets:
+        for box, arrivals in seen.by_box(target):
+            yield from _rest(seen, target, box, arrivals)
+            yield from _drain_as_told(seen, target, box, arrivals)
+
+
+def _once(seen: Seen) -> Iterator[Finding]:
+    for request_id, runs in seen.ran.items():
+        attempt = seen.attempts.get(request_id)
+        if attempt is None or seen.kinds[attempt.kind].repeatable or len(runs) < 2:
+            continue
+        where = ", ".join(target.worker.instance for target, _ in runs)
+        yield Finding(Promise.ONCE, request_id, f"ran at {where}")
+
+
+def _as_sent(seen: Seen) -> Iterator[Finding]:
+    for request_id, runs in seen.ran.items():
+        attempt = seen.attempts.get(request_id)
+        for target, run in runs:
+            if attempt is None:
+                yield Finding(Promise.AS_SENT, request_id, "no caller sent it")
+            elif (run.method, run.path) != (attempt.method, attempt.path):
+                detail = f"{target.worker.instance} ran {run.method} {run.path}"
+                yield Finding(Promise.AS_SENT, request_id, detail)
+
+
+def _drain(seen: Seen) -> Iterator[Finding]:
+    bounds = seen.day.bounds
+    for target in seen.evidence.targets:
+        if target.leaving_at is None:
+            continue
+        allowed = target.leaving_at + bounds.drain + SLACK_S
+        for run in target.worker.ran:
+            late = run.arrived - allowed
+            if late > 0 and not seen.unplanned(target.leaving_at - bounds.contact, allowed):
+                detail = f"{run.request_id} reached it {late:.2f} s too late"
+                yield Finding(Promise.DRAIN, target.worker.instance, detail)
+
+
+def _barred(seen: Seen) -> Iterator[Finding]:
+    """Check that targets are spared once some have ended under a request."""
+    contact = seen.day.bounds.contact
+    ids = {attempt.id for attempt in seen.evidence.deadly}
+    runs = sorted(
+        (run.arrived, target.worker.instance)
+        for target in seen.evidence.targets
+        for run in target.worker.ran
+        if run.request_id in ids
+    )
+    if len(runs) <= _ENDED_MOST:
+        return
+    known_at = runs[_ENDED_MOST - 1][0] + contact + SLACK_S
+    late = [
+        (at, name) for at, name in runs if at > known_at and not seen.unplanned(at - contact, at)
+    ]
+    if len(late) > _ENDED_MOST:
+        detail = f"{len(runs)} ended under one request, {len(late)} of them too late"
+        yield Finding(Promise.BARRED, late[-1][1], detail)
+
+
+def _time_given(seen: Seen) -> Iterator[Finding]:
+    for request_id, runs in seen.ran.items():
+        attempt = seen.attempts.get(request_id)
+        for target, run in runs:
+            contact = seen.day.bounds.contact
+            if attempt is None or seen.unplanned(attempt.sent - contact, run.arrived):
+                continue
+            beyond = run.arrived + run.deadline_ms / 1000 - attempt.until
+            if beyond > _GIVEN_S:
+                detail = f"{target.worker.instance} was given {beyond:.2f} s more than was left"
+                yield Finding(Promise.TIME_GIVEN, request_id, detail)
+
+
+def _rest(
+    seen: Seen, target: Target, box: Address, arrivals: Sequence[Arrival]
+) -> Iterator[Finding]:
+    """Check that a box sends nothing to a target that asked it for rest."""
+    for asked in arrivals:
+        over = asked.answered_at + asked.rest
+        since = asked.answered_at + _UNDER_WAY_S
+        got = sum(since < arrival.at < over for arrival in arrivals)
+        if got > _IN_REST_MOST and not seen.troubled(BOX_OR_LINK, asked.answered_at, over):
+            detail = f"got {got} requests from {box} in {asked.rest:g} s of rest"
+            yield Finding(Promise.REST, target.worker.instance, detail)
+
+
+def _drain_as_told(
+    seen: Seen, target: Target, box: Address, arrivals: Sequence[Arrival]
+) -> Iterator[Finding]:
+    """Check that a box sends nothing to a target that told it in an answer that it leaves."""
+    told: Seconds | None = min((a.answered_at for a in arrivals if a.said_leaving), default=None)
+    if told is None:
+        return
+    limit = told + seen.day.bounds.drain + SLACK_S
+    for arrival in arrivals:
+        sent = seen.attempts[arrival.request_id].sent
+        if sent > limit and not seen.troubled(BOX_OR_LINK, told, arrival.at):
+            detail = f"{arrival.request_id} came from {box} {sent - told:.2f} s after its word"
+            yield Finding(Promise.DRAIN, target.worker.instance, detail)
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from dunlinnotch.lab.fleet import HOST, Fleet, prefix_of
-from dunlinnotch.lab.referee import Evidence, Referee
+from dunlinnotch.lab.referee import Evidence, judge
 from dunlinnotch.lab.report import DayResult, summarise
 from dunlinnotch.lab.troubles import Troubles
 from dunlinnotch.standins.users.caller import CallerRequestPlan, CallerStandin
@@ -151,7 +151,7 @@
         )
         return summarise(
             evidence,
-            Referee(evidence).findings(),
+            judge(evidence),
             store_calls=fleet.store.calls,
             tool_late=callers.late,
         )
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -29,6 +29,8 @@
 _USUAL_SLOWNESS = 100
 #: A listed target disappears after three heartbeats without a word, in seconds.
 _UNLISTED_S = 4.5
+#: Rest that targets ask for, in seconds as they write them; some of it can't be read.
+_RESTS = ("1", "1.5", "3", "4.25", "30", "soon", "-1")
 _STORM_VERSIONS, _STORM_GAP_S = 10, 0.1
 #: Time between two boxes that are asked to stop one after the other, in seconds.
 _STOP_GAP_S = 1.0
@@ -68,6 +70,9 @@
             TroubleKind.ANSWER_CUT: self._spoil_answers,
             TroubleKind.ANSWER_TWICE: self._spoil_answers,
             TroubleKind.HEALTH_LIES: self._lie,
+            TroubleKind.TARGET_REFUSES: self._refuse,
+            TroubleKind.TARGET_RESTS: self._refuse,
+            TroubleKind.TARGET_LEAVES: self._release,
             TroubleKind.RELEASE: self._release,
             TroubleKind.DEADLY_REQUEST: self._send_deadly,
             TroubleKind.BOX_KILL: self._kill_boxes,
@@ -154,6 +159,17 @@
         for target in targets:
             target.worker.settings.draw_fault = None
 
+    async def _refuse(self, plan: TroublePlan) -> None:
+        targets = self._some_targets(plan)
+        rests = plan.kind is TroubleKind.TARGET_RESTS
+        for target in targets:
+            target.worker.settings.turns_away = lambda: self._rng.random() < plan.x
+            target.worker.settings.rest = self._rng.choice(_RESTS) if rests else ""
+        await asyncio.sleep(plan.for_s)
+        for target in targets:
+            target.worker.settings.turns_away = None
+            target.worker.settings.rest = ""
+
     async def _lie(self, plan: TroublePlan) -> None:
         targets = self._some_targets(plan)
         for target in targets:
@@ -163,9 +179,11 @@
             target.worker.settings.healthy = True
 
     async def _release(self, plan: TroublePlan) -> None:
+        quiet = plan.kind is TroubleKind.TARGET_LEAVES
+        announce = self._fleet.vanish if quiet else self._fleet.announce_leaving
         for target in self._some_targets(plan):
             if not target.ending:
-                await self._fleet.release(target)
+                await self._fleet.release(target, announce=announce)
 
     async def _send_deadly(self, plan: TroublePlan) -> None:
         kind = next((kind for kind in self._fleet.day.kinds if kind.repeatable), None)
--- a/dunlinnotch/standins/users/caller.py
+++ b/dunlinnotch/standins/users/caller.py
@@ -51,8 +51,8 @@
     request : int
         Number of the request that it belongs to.
     id, kind, box, method, path : str
-    sent, ended : float
-        Monotonic seconds.
+    sent, ended, until : float
+        Monotonic seconds; its caller waits ``until`` then.
     """
 
     request: int
@@ -63,6 +63,7 @@
     path: str
     sent: Seconds
     ended: Seconds = 0.0
+    until: Seconds = 0.0
     outcome: AttemptOutcome = AttemptOutcome.NOT_CONNECTED
     status: int = 0
     body: bytes = b""
@@ -222,6 +223,7 @@
             return None
         now = self._loop.time()
         record = AttemptRecord(number, self._next_id(), plan.kind, box, plan.method, plan.path, now)
+        record.until = until
         try:
             if link is None:
                 async with asyncio.timeout(min(_CONNECT_S, max(0.01, until - now))):
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -64,6 +65,31 @@
     finished: bool = False
 
 
+@dataclass(slots=True)
+class Arrival:
+    """One request that reached a worker, run or not, and what it was told.
+
+    Parameters
+    ----------
+    request_id : str
+    at, answered_at : float
+        Monotonic seconds; ``answered_at`` is 0 until there is an answer.
+    turned_away : bool
+        Whether it was not run.
+    rest : float
+        Seconds of rest asked for.
+    said_leaving : bool
+        Whether the answer said that the worker leaves.
+    """
+
+    request_id: str
+    at: float
+    answered_at: float = 0.0
+    turned_away: bool = False
+    rest: float = 0.0
+    said_leaving: bool = False
+
+
 @dataclass(slots=True)
 class WorkerSettings:
     """How a worker behaves.
@@ -120,8 +146,8 @@
         Requests that it began to work on, in order.
     instance : str
         Its id.
-    arrivals, turned_away : list of float
-        Monotonic seconds of each request that arrived, and of each that it turned away.
+    arrivals : list of Arrival
+        All requests that reached it, in order.
     hold : asyncio.Event or None
         If set, work goes on until it is set.
     ended : asyncio.Event
@@ -132,8 +158,7 @@
         self.settings = settings or WorkerSettings()
         self.instance = f"i-{next(_numbers):08x}"
         self.ran: list[Ran] = []
-        self.arrivals: list[float] = []
-        self.turned_away: list[float] = []
+        self.arrivals: list[Arrival] = []
         self.probes = 0
         self.dropped = 0
         self.address = ""
@@ -208,8 +233,9 @@
             status = 200 if self.settings.healthy else 503
             exchange.reply(status, [Header("Instance-Id", self.instance), *self._state()], b"")
             return
-        self.arrivals.append(exchange.arrived)
         request_id = exchange.header("attempt-id") or ""
+        arrival = Arrival(request_id, exchange.arrived)
+        self.arrivals.append(arrival)
         expected = exchange.header("expect-instance")
         if expected is not None and expected != self.instance:
             exchange.reply(421, [Header("Instance-Id", self.instance)], b"")
@@ -217,10 +243,10 @@
         if self._running + self._waiting >= self.settings.slots + self.settings.queue:
             if self.settings.hangs_when_full:
                 await asyncio.sleep(_FOREVER_S)
-            self._turn_away(exchange, request_id)
+            self._turn_away(exchange, arrival)
             return
         if self.settings.turns_away is not None and self.settings.turns_away():
-            self._turn_away(exchange, request_id)
+            self._turn_away(exchange, arrival)
             return
         self._waiting += 1
         try:
@@ -237,7 +263,7 @@
             exchange.arrived,
         )
         try:
-            await self._run(exchange, run)
+            await self._run(exchange, run, arrival)
         except (asyncio.CancelledError, BodyCutError):
             self.dropped += 1
             raise
@@ -245,18 +271,25 @@
             self._running -= 1
             self._slots.release()
 
-    def _turn_away(self, exchange: Exchange, request_id: str) -> None:
-        self.turned_away.append(asyncio.get_running_loop().time())
-        headers = [Header("Not-Executed", "1"), _id(request_id), *self._state()]
+    def _turn_away(self, exchange: Exchange, arrival: Arrival) -> None:
+        headers = [Header("Not-Executed", "1"), _id(arrival.request_id), *self._state()]
         exchange.reply(503, headers + self._rest(), b"")
+        self._note_answer(arrival)
+        arrival.turned_away = True
+        with contextlib.suppress(ValueError):  # Some ask for what is no time.
+            arrival.rest = max(0.0, float(self.settings.rest))
+
+    def _note_answer(self, arrival: Arrival) -> None:
+        arrival.answered_at = asyncio.get_running_loop().time()
+        arrival.said_leaving = self.settings.leaving
 
     def _rest(self) -> list[Header]:
         return [Header("Retry-After", self.settings.rest)] if self.settings.rest else []
 
-    async def _run(self, exchange: Exchange, run: Ran) -> None:
+    async def _run(self, exchange: Exchange, run: Ran, arrival: Arrival) -> None:
         fault = self._next_fault()
         if fault is WorkerFault.EARLY:
-            self._turn_away(exchange, run.request_id)
+            self._turn_away(exchange, arrival)
             return
         run.body = b"".join([part async for part in exchange.body()])
         self.ran.append(run)
@@ -273,6 +306,8 @@
             await asyncio.sleep(work_s * self.settings.slowness / 100)
         run.finished = True
         await self._answer(exchange, run, fault)
+        if fault is WorkerFault.NONE:
+            self._note_answer(arrival)
 
     def _next_fault(self) -> WorkerFault:
         if self.settings.faults:
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -8,9 +8,10 @@
 
 from dunlinnotch.lab.day import Bounds, Day, KindPlan, ServicePlan, TroubleKind
 from dunlinnotch.lab.fleet import Target
-from dunlinnotch.lab.referee import Evidence, Promise, Referee, Window
+from dunlinnotch.lab.referee import Evidence, Promise, Window
+from dunlinnotch.lab.referee import judge as judge_day
 from dunlinnotch.standins.users.caller import AttemptOutcome, AttemptRecord
-from dunlinnotch.standins.users.worker import Ran
+from dunlinnotch.standins.users.worker import Arrival, Ran
 
 DAY = Day(
     boxes=2,
@@ -25,7 +26,7 @@
 
 
 def target(name="t1", service="records", *, leaving_at=None, probes=0):
-    worker = SimpleNamespace(instance=name, ran=[], probes=probes)
+    worker = SimpleNamespace(instance=name, ran=[], arrivals=[], probes=probes)
     return Target(worker, None, service, "hall-a", leaving_at=leaving_at)
 
 
@@ -35,10 +36,16 @@
     where.worker.ran.append(run)
 
 
+def arrive_at(where, request_id, at=10.0, *, rest=0.0, leaving=False):
+    """Have a request reach a target, which turns it away if it asks for rest."""
+    where.worker.arrivals.append(Arrival(request_id, at, at, rest > 0, rest, leaving))
+
+
 def attempt(request_id="a1", *, kind="lookup", request=1, sent=10.0, took=0.1, **seen):
     method = "GET" if kind == "lookup" else "POST"
     record = AttemptRecord(request, request_id, kind, BOX, method, f"/{kind}/1", sent)
     record.ended = sent + took
+    record.until = sent + 2.0
     record.outcome = AttemptOutcome.ANSWERED
     record.status = 200
     record.sealed = True
@@ -51,7 +58,7 @@
 
 def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=()):
     evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {}, deadly)
-    return [finding.promise for finding in Referee(evidence).findings()]
+    return [finding.promise for finding in judge_day(evidence)]
 
 
 def test_a_day_without_fault_has_no_findings():
@@ -212,5 +219,90 @@
     ended = [target(f"t{number}") for number in range(len(times))]
     for number, (one, at) in enumerate(zip(ended, times, strict=True)):
         run_at(one, f"d{number}", arrived=at)
-    deadly = [attempt(f"d{number}", status=502) for number in range(len(times))]
+    deadly = [attempt(f"d{number}", status=502, sent=at) for number, at in enumerate(times)]
     assert judge([], ended, windows=windows, deadly=deadly) == broken
+
+
+def _arrivals(one, times, *, rest=0.0, leaving=False, box=BOX):
+    """Have a target told of first, and so many requests of one box reach it afterwards."""
+    arrive_at(one, "a0", rest=rest, leaving=leaving)
+    for number, at in enumerate(times, 1):
+        arrive_at(one, f"a{number}", at)
+    later = (attempt(f"a{n}", sent=at, box=box, status=500) for n, at in enumerate(times, 1))
+    return [attempt("a0", status=500), *later]
+
+
+@pytest.mark.parametrize(
+    ("times", "box", "windows", "found"),
+    [
+        ([11.0, 11.5, 12.0], BOX, [], [Promise.REST]),
+        ([11.0, 12.0], BOX, [], []),
+        ([10.1, 10.2, 10.3, 12.0, 12.5], BOX, [], []),
+        ([13.1, 13.2, 13.3], BOX, [], []),
+        ([11.0, 11.5, 12.0], "127.0.0.1:2", [], []),
+        ([11.0, 11.5, 12.0], BOX, [Window(TroubleKind.BOX_STOP, 10.5, 11.0)], []),
+        ([11.0, 11.5, 12.0], BOX, [Window(TroubleKind.BOX_FREEZE, 2.0, 5.0)], [Promise.REST]),
+        ([11.0, 11.5, 12.0], BOX, [Window(TroubleKind.STORE_DOWN, 9.0, 15.0)], [Promise.REST]),
+    ],
+)
+def test_a_target_that_asked_for_rest_got_requests(times, box, windows, found):
+    one = target()
+    seen = _arrivals(one, times, rest=3.0, box=box)
+    assert judge(seen, [one], windows=windows) == found
+
+
+@pytest.mark.parametrize(
+    ("at", "box", "windows", "found"),
+    [
+        (12.2, BOX, [], []),
+        (12.5, BOX, [], [Promise.DRAIN]),
+        (12.5, "127.0.0.1:2", [], []),
+        (12.5, BOX, [Window(TroubleKind.STORE_DOWN, 9.0, 15.0)], [Promise.DRAIN]),
+        (12.5, BOX, [Window(TroubleKind.BOX_KILL, 11.0, 12.0)], []),
+    ],
+)
+def test_a_target_that_said_that_it_leaves_got_a_request(at, box, windows, found):
+    one = target()
+    seen = _arrivals(one, [at], leaving=True, box=box)
+    assert judge(seen, [one], windows=windows) == found
+
+
+@pytest.mark.parametrize(("targets", "found"), [(3, []), (4, [Promise.TRIES])])
+def test_a_request_that_went_to_more_targets_than_its_kind_allows(targets, found):
+    reached = [target(f"t{n}") for n in range(targets)]
+    for one in reached:
+        arrive_at(one, "a1")
+    assert judge([attempt("a1", status=500)], reached) == found
+
+
+@pytest.mark.parametrize(
+    ("repeats", "apart", "found"),
+    [(62, 0.0, []), (63, 0.0, [Promise.REPEATS]), (63, 0.2, [])],
+)
+def test_more_repeats_than_the_budget(repeats, apart, found):
+    """Ten requests allow two repeats, and sixty beside."""
+    one, two = target(), target("t2")
+    seen = [attempt(f"a{n}", status=500) for n in range(10)]
+    seen += [attempt(f"b{n}", sent=-100.0, status=500) for n in range(repeats)]
+    for number in range(repeats):
+        at = 10.0 + number * apart
+        arrive_at(one, f"b{number}", at - 0.01)
+        arrive_at(two, f"b{number}", at)
+    assert judge(seen, [one, two]) == found
+
+
+@pytest.mark.parametrize(
+    ("arrived", "windows", "found"),
+    [
+        (10.0, [], []),
+        (11.4, [], []),
+        (11.6, [], [Promise.TIME_GIVEN]),
+        (11.6, [Window(TroubleKind.TARGET_SILENT, 8.0, 9.0)], []),
+        (11.6, [Window(TroubleKind.BURST, 8.0, 20.0)], [Promise.TIME_GIVEN]),
+    ],
+)
+def test_a_target_that_was_given_more_time_than_its_caller_has(arrived, windows, found):
+    """Its caller waits until 12.0; a run is given one second."""
+    one = target()
+    run_at(one, "a1", arrived=arrived)
+    assert judge([attempt("a1")], [one], windows=windows) == found
--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -43,11 +43,16 @@
 def in_rest(worker, rest=REST_S):
     """Return the requests that reached a worker while it wanted rest, most of any rest."""
     return max(
-        sum(asked + SLACK_S < at < asked + rest for at in worker.arrivals)
-        for asked in worker.turned_away
+        sum(asked + SLACK_S < arrival.at < asked + rest for arrival in worker.arrivals)
+        for asked in turned_away(worker)
     )
 
 
+def turned_away(worker):
+    """Return when a worker turned requests away."""
+    return [arrival.answered_at for arrival in worker.arrivals if arrival.turned_away]
+
+
 def test_a_target_that_asks_for_rest_gets_nothing_until_it_is_over():
     async def test():
         async with stream_world(workers=2) as world:
@@ -57,7 +62,7 @@
             assert {answer.status for answer in answers} == {200}
             assert in_rest(tired) <= MOST_IN_REST
             # It is used again once its rest is over.
-            assert tired.turned_away[-1] - tired.turned_away[0] >= REST_S
+            assert turned_away(tired)[-1] - turned_away(tired)[0] >= REST_S
 
     run(test)
 
@@ -68,7 +73,7 @@
             tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="1.5"))
             await until(lambda: len(world.boxes[0].instances.of("loans")) == 2)
             await asyncio.gather(*(send_for(world.boxes[0], REST_S / 2) for _ in range(4)))
-            await until(lambda: tired.turned_away)
+            await until(lambda: turned_away(tired))
             await until(lambda: not any(q.asking for q in world.boxes[0].seeker._queues.values()))
             before = tired.probes
             await send_for(world.boxes[0], REST_S / 3)
@@ -103,7 +108,7 @@
             box = world.boxes[0]
             tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="30"))
             await until(lambda: len(box.instances.of("loans")) == 2)
-            while not tired.turned_away:
+            while not turned_away(tired):
                 await send_for(box, 0.1)
             world.store.remove("servers", tired.instance)
             await until(lambda: len(box.instances.of("loans")) == 1)
@@ -122,7 +127,7 @@
             box = world.boxes[0]
             tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="30"))
             await until(lambda: len(box.instances.of("loans")) == 2)
-            while not tired.turned_away:
+            while not turned_away(tired):
                 await send_for(box, 0.1)
             tired.settings.turns_away = None
             row = {**tired.row("loans", zone="hall-a"), "born": 1_800_000_000_000}
@@ -173,7 +178,7 @@
             await until(lambda: len(world.boxes[0].instances.of("loans")) == 3)
             answers = await send_for(world.boxes[0], 2.0)
             assert {answer.status for answer in answers} == {200}
-            gaps = [b - a for a, b in itertools.pairwise(refuses.turned_away)]
+            gaps = [b - a for a, b in itertools.pairwise(turned_away(refuses))]
             assert len(gaps) >= 2
             # Set aside after the second: 0.5 s, then twice as long each time.
             assert all(gap >= 0.5 * 2**n for n, gap in enumerate(gaps[1:]))
