--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -12,11 +12,12 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import uuid
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import urllib3
 
@@ -58,6 +59,11 @@
     raise TimeoutError(msg)
 
 
+def _exit_by_signal(number: int, _: object) -> None:
+    """End the process as an error would, so that what it started is ended too."""
+    raise SystemExit(128 + number)
+
+
 @dataclass(slots=True)
 class Process:
     """One process of the fleet."""
@@ -117,6 +123,7 @@
     processes: list[Process] = field(default_factory=list)
     statsd: str = ""
     given: set[str] = field(default_factory=set)
+    _before: Any = None
     http: urllib3.PoolManager = field(
         default_factory=lambda: urllib3.PoolManager(retries=False, timeout=10.0)
     )
@@ -125,11 +132,16 @@
     )
 
     def __enter__(self) -> Fleet:
+        # Without this, a time limit that ends the tool leaves its processes running.
+        if threading.current_thread() is threading.main_thread():
+            self._before = signal.signal(signal.SIGTERM, _exit_by_signal)
         return self
 
     def __exit__(self, *_: object) -> None:
         for process in self.processes:
             process.end()
+        if self._before is not None:
+            signal.signal(signal.SIGTERM, self._before)
 
     def free_addresses(self, count: int) -> list[str]:
         """Return addresses with ports from the kernel, none of them given out before."""
--- a/dunlinnotch/cli/lab.py
+++ b/dunlinnotch/cli/lab.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import secrets
+import signal
 import tempfile
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 
 from cleo.helpers import argument, option
 
@@ -18,7 +19,20 @@
 from dunlinnotch.lab.report import LATE_S, DayResult, as_text, compare, load_result
 from dunlinnotch.lab.run import play
 
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
 _SOAK_MOST = 500
+#: Exit status of a process that a signal ended, as shells tell it.
+_TERMINATED = 128 + signal.SIGTERM
+
+
+async def _until_terminated(work: Coroutine[None, None, DayResult]) -> DayResult:
+    """Await work; the signal that ends the tool ends what the work started first."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await work
 
 
 class LabCommand(FileCommand):
@@ -27,7 +41,10 @@
     def play(self, day: Day, logs: Path) -> DayResult:
         """Play one day and show how far it is."""
         logs.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(play(day, logs, progress=self.line_error))
+        try:
+            return asyncio.run(_until_terminated(play(day, logs, progress=self.line_error)))
+        except asyncio.CancelledError:
+            raise SystemExit(_TERMINATED) from None
 
     def whole(self, name: str, default: int, *, most: int) -> int:
         """Return an option that is a whole number.
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -238,11 +238,11 @@
             box.start()
             await box.wait_ready()
 
-        stops = []
-        for box in self._some_boxes(plan):
-            stops.append(asyncio.ensure_future(stop(box)))
-            await asyncio.sleep(_STOP_GAP_S)
-        await asyncio.gather(*stops)
+        # A day may end amid this: what still waits for a box to end must not start it again.
+        async with asyncio.TaskGroup() as stops:
+            for box in self._some_boxes(plan):
+                stops.create_task(stop(box))
+                await asyncio.sleep(_STOP_GAP_S)
 
     # -- the store
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import subprocess
 import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 
@@ -246,3 +249,54 @@
 @pytest.mark.parametrize("file", sorted(DAYS.glob("*.toml")), ids=lambda file: file.stem)
 def test_a_day_that_once_broke_a_promise_keeps_it(file, tmp_path):
     assert broken(asyncio.run(play(read_day(file), tmp_path))) == []
+
+
+def processes_with(text):
+    """Return the ids of processes whose environment or command line holds a text."""
+    found = []
+    for process in Path("/proc").glob("[0-9]*"):
+        try:
+            told = (process / "environ").read_bytes() + (process / "cmdline").read_bytes()
+        except OSError:
+            continue
+        if text.encode() in told:
+            found.append(int(process.name))
+    return found
+
+
+def wait_for(condition, *, within=60.0):
+    """Wait until a condition holds."""
+    until = time.monotonic() + within
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
+def test_a_day_that_a_signal_ends_leaves_no_box_running(tmp_path):
+    file = tmp_path / "day.toml"
+    file.write_text(GOOD.replace("length_s = 2", "length_s = 100"), encoding="utf-8")
+    logs = tmp_path / "logs"
+    command = [sys.executable, "-m", "dunlinnotch.cli", "lab", "run", str(file)]
+    tool = subprocess.Popen([*command, "--logs", str(logs)], stderr=subprocess.DEVNULL)
+    settings = str(logs / "box-1.conf")
+    wait_for(lambda: processes_with(settings))
+    tool.send_signal(signal.SIGTERM)
+    assert tool.wait(timeout=60) == 128 + signal.SIGTERM
+    assert processes_with(str(logs / "box-")) == []
+
+
+def test_a_benchmark_that_a_signal_ends_leaves_nothing_running():
+    script = (
+        "import tempfile, time; from pathlib import Path; from demo.fleet import Fleet\n"
+        "with tempfile.TemporaryDirectory() as folder, Fleet(Path(folder)) as fleet:\n"
+        "    fleet.start_platform()\n"
+        "    print(fleet.platform_faults, flush=True)\n"
+        "    time.sleep(100)\n"
+    )
+    tool = subprocess.Popen([sys.executable, "-c", script], stdout=subprocess.PIPE, text=True)
+    faults = tool.stdout.readline().strip()
+    assert processes_with(faults)
+    tool.send_signal(signal.SIGTERM)
+    assert tool.wait(timeout=60) == 128 + signal.SIGTERM
+    tool.stdout.close()
+    assert processes_with(faults) == []
