--- a/dunlinnotch/lab/referee/work.py
+++ b/dunlinnotch/lab/referee/work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from dunlinnotch.lab.referee.common import BOX_OR_LINK, SLACK_S, Finding, Promise
@@ -22,6 +23,8 @@
 _IN_REST_MOST = 2
 #: Time that a target is given beyond what its caller has left, at most, in seconds.
 _GIVEN_S = 0.5
+#: A repeat so long after the first try must have been given less time, in seconds.
+_LATER_S = 0.5
 
 
 def check(seen: Seen) -> Iterator[Finding]:
@@ -92,15 +95,29 @@
 
 
 def _time_given(seen: Seen) -> Iterator[Finding]:
-    for request_id, runs in seen.ran.items():
+    """Check that no target is given more time than the caller stated, nor more on a repeat.
+
+    Notes
+    -----
+    What counts is the time that a box hands on.  A box that is held up before it has read
+    a request can't know how long the request has waited for that.
+    """
+    reached: dict[str, list[Arrival]] = defaultdict(list)
+    for target in seen.evidence.targets:
+        for arrival in target.worker.arrivals:
+            reached[arrival.request_id].append(arrival)
+    for request_id, arrivals in reached.items():
         attempt = seen.attempts.get(request_id)
-        for target, run in runs:
-            contact = seen.day.bounds.contact
-            if attempt is None or seen.unplanned(attempt.sent - contact, run.arrived):
-                continue
-            beyond = run.arrived + run.deadline_ms / 1000 - attempt.until
+        if attempt is None or seen.unplanned(attempt.sent - seen.day.bounds.contact, attempt.until):
+            continue
+        first = min(arrivals, key=lambda arrival: arrival.at)
+        for arrival in arrivals:
+            beyond = arrival.given - (attempt.until - attempt.sent)
+            if arrival.at > first.at + _LATER_S:
+                end = max(first.at + first.given, attempt.until)
+                beyond = max(beyond, arrival.at + arrival.given - end)
             if beyond > _GIVEN_S:
-                detail = f"{target.worker.instance} was given {beyond:.2f} s more than was left"
+                detail = f"a target was given {beyond:.2f} s more than its caller has"
                 yield Finding(Promise.TIME_GIVEN, request_id, detail)
 
 
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -74,6 +74,8 @@
     request_id : str
     at, answered_at : float
         Monotonic seconds; ``answered_at`` is 0 until there is an answer.
+    given : float
+        Seconds that the worker was given for it.
     turned_away : bool
         Whether it was not run.
     rest : float
@@ -85,6 +87,7 @@
     request_id: str
     at: float
     answered_at: float = 0.0
+    given: float = 0.0
     turned_away: bool = False
     rest: float = 0.0
     said_leaving: bool = False
@@ -234,7 +237,8 @@
             exchange.reply(status, [Header("Instance-Id", self.instance), *self._state()], b"")
             return
         request_id = exchange.header("attempt-id") or ""
-        arrival = Arrival(request_id, exchange.arrived)
+        given_ms = int(exchange.header("deadline-ms") or 0)
+        arrival = Arrival(request_id, exchange.arrived, given=given_ms / 1000)
         self.arrivals.append(arrival)
         expected = exchange.header("expect-instance")
         if expected is not None and expected != self.instance:
@@ -259,7 +263,7 @@
             exchange.method,
             exchange.path,
             b"",
-            int(exchange.header("deadline-ms") or 0),
+            given_ms,
             exchange.arrived,
         )
         try:
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -36,9 +36,10 @@
     where.worker.ran.append(run)
 
 
-def arrive_at(where, request_id, at=10.0, *, rest=0.0, leaving=False):
+def arrive_at(where, request_id, at=10.0, *, rest=0.0, leaving=False, given=0.0):
     """Have a request reach a target, which turns it away if it asks for rest."""
-    where.worker.arrivals.append(Arrival(request_id, at, at, rest > 0, rest, leaving))
+    arrival = Arrival(request_id, at, at, given, rest > 0, rest, leaving)
+    where.worker.arrivals.append(arrival)
 
 
 def attempt(request_id="a1", *, kind="lookup", request=1, sent=10.0, took=0.1, **seen):
@@ -219,7 +220,7 @@
     ended = [target(f"t{number}") for number in range(len(times))]
     for number, (one, at) in enumerate(zip(ended, times, strict=True)):
         run_at(one, f"d{number}", arrived=at)
-    deadly = [attempt(f"d{number}", status=502, sent=at) for number, at in enumerate(times)]
+    deadly = [attempt(f"d{number}", status=502) for number in range(len(times))]
     assert judge([], ended, windows=windows, deadly=deadly) == broken
 
 
@@ -292,17 +293,23 @@
 
 
 @pytest.mark.parametrize(
-    ("arrived", "windows", "found"),
+    ("given", "repeated", "windows", "found"),
     [
-        (10.0, [], []),
-        (11.4, [], []),
-        (11.6, [], [Promise.TIME_GIVEN]),
-        (11.6, [Window(TroubleKind.TARGET_SILENT, 8.0, 9.0)], []),
-        (11.6, [Window(TroubleKind.BURST, 8.0, 20.0)], [Promise.TIME_GIVEN]),
+        (2.0, None, [], []),
+        (2.4, None, [], []),
+        (2.6, None, [], [Promise.TIME_GIVEN]),
+        (2.6, None, [Window(TroubleKind.BOX_FREEZE, 8.0, 9.0)], []),
+        (2.6, None, [Window(TroubleKind.BURST, 8.0, 20.0)], [Promise.TIME_GIVEN]),
+        (2.0, (10.4, 2.0), [], []),
+        (2.0, (11.0, 1.4), [], []),
+        (2.0, (11.0, 1.6), [], [Promise.TIME_GIVEN]),
+        (2.3, (11.0, 1.7), [], []),
     ],
 )
-def test_a_target_that_was_given_more_time_than_its_caller_has(arrived, windows, found):
-    """Its caller waits until 12.0; a run is given one second."""
-    one = target()
-    run_at(one, "a1", arrived=arrived)
-    assert judge([attempt("a1")], [one], windows=windows) == found
+def test_a_target_that_was_given_more_time_than_its_caller_has(given, repeated, windows, found):
+    """Its caller states 2 s and waits until 12.0."""
+    one, two = target(), target("t2")
+    arrive_at(one, "a1", given=given)
+    if repeated is not None:
+        arrive_at(two, "a1", repeated[0], given=repeated[1])
+    assert judge([attempt("a1", status=500)], [one, two], windows=windows) == found
