--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,6 +18,7 @@
 from dunlinnotch.coordination.budgets import probes, seats
 from dunlinnotch.coordination.budgets.shares import ProbeShare, RepeatShare
 from dunlinnotch.coordination.choosing.asking import TargetSeeker
+from dunlinnotch.coordination.choosing.fresh import FreshChooser
 from dunlinnotch.coordination.choosing.saturation import Saturation
 from dunlinnotch.coordination.choosing.work_times import WorkTimes
 from dunlinnotch.coordination.membership.crash_news import CrashNews
@@ -268,9 +269,36 @@
     return (0, self.sequence)
 
 
+def _grant_no_rest(self, instance, until):
+    pass
+
+
+def _hear_no_leaving(self, instance):
+    return False
+
+
+def _blame_nobody(self, instance, said, now):
+    pass
+
+
+def _rest_is_no_reason(self, service, now):
+    return 0.0
+
+
+def _any_number_of_tries(self, run, kind, ended):
+    return not run.reply.begun and run.body.resendable and not run.may_have_run
+
+
+def _more_time(self, request, *, left, instance):
+    return _REQUEST_HEADERS(self, request, left=left + 3.0, instance=instance)
+
+
+_REQUEST_HEADERS = WorkerDialect.request_headers
+
 ENTRY, SHARES = "tests/test_entry.py", "tests/test_shares.py"
 CRASHING, CRASH_NEWS = "tests/test_crashing.py", "tests/test_crash_news.py"
 LINKS, ASKING = "tests/test_links.py", "tests/test_asking.py"
+REST, LEAVING = "tests/test_rest.py", "tests/test_leaving_words.py"
 
 MUTANTS = (
     Mutant("repeat what may run once", Forwarder, "_may_repeat", _repeat_anything, ENTRY),
@@ -300,6 +328,14 @@
         property(_forget_starts),
         "tests/test_instances.py",
     ),
+    Mutant("grant no rest", InstanceList, "rest", _grant_no_rest, REST),
+    Mutant("let all wait though all rest", InstanceList, "rest_left", _rest_is_no_reason, REST),
+    Mutant(
+        "hear no target say it leaves", InstanceList, "leave_for_good", _hear_no_leaving, LEAVING
+    ),
+    Mutant("set no target aside that refuses", FreshChooser, "refused", _blame_nobody, REST),
+    Mutant("try any number of targets", Forwarder, "_may_repeat", _any_number_of_tries, ENTRY),
+    Mutant("give targets three seconds more", WorkerDialect, "request_headers", _more_time, ENTRY),
     Mutant("let no target leave", InstanceList, "_take_leaving", _leave_nothing, ENTRY),
     Mutant(
         "tell a peer only what one saw",
