Lab: callers that leave amid long work; proper requests turned down are judged

A caller sends requests of 2 s of work and closes its connection after 0.3 s. Planned work excuses nothing. A 3xx or 4xx of a box is a finding: all requests of the lab are proper.

--- a/dunlinnotch/lab/day.py
+++ b/dunlinnotch/lab/day.py
@@ -65,6 +65,8 @@
     STORE_FORGETS = "store-forgets"
     #: A caller sends, ``x`` times a second, a request that ends each target that runs it.
     DEADLY_REQUEST = "deadly-request"
+    #: A caller sends, ``x`` times a second, a request of long work and leaves amid it.
+    CALLER_LEAVES = "caller-leaves"
     #: A request kind moves to another service.
     SETTINGS_MOVE = "settings-move"
     #: Ten versions of the settings follow each other within a second.
@@ -80,6 +82,7 @@
         TroubleKind.TARGET_RESTS,
         TroubleKind.TARGET_LEAVES,
         TroubleKind.DEADLY_REQUEST,
+        TroubleKind.CALLER_LEAVES,
         TroubleKind.BOX_STOP,
         TroubleKind.SETTINGS_MOVE,
         TroubleKind.SETTINGS_STORM,
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -32,6 +32,8 @@
 _BACK_S = 2.0
 #: Last part of the path of a request that ends the targets that run it.
 DEADLY = "deadly"
+#: Last part of the path of a request of long work, and that work in seconds.
+LONG, LONG_S = "long", 2.0
 
 
 @dataclass(slots=True, eq=False)
@@ -224,6 +226,8 @@
         kind = next((k for k in self.day.kinds if path.startswith(prefix_of(k))), None)
         if kind is None:
             return 0.0
+        if path.endswith(f"/{LONG}"):
+            return LONG_S
         return kind.work_ms / _MS * self.rng.uniform(0.7, 1.3)
 
     # -- settings
--- a/dunlinnotch/lab/referee/answers.py
+++ b/dunlinnotch/lab/referee/answers.py
@@ -22,6 +22,7 @@
     for attempt in seen.evidence.attempts:
         yield from _whole(seen, attempt)
         yield from _not_run(seen, attempt)
+        yield from _denied(attempt)
         yield from _in_time(seen, attempt)
 
 
@@ -51,3 +52,10 @@
     if attempt.ended - attempt.sent > allowed:
         held = attempt.ended - attempt.sent
         yield Finding(Promise.IN_TIME, attempt.id, f"held {held:.2f} s at {attempt.box}")
+
+
+def _denied(attempt: AttemptRecord) -> Iterator[Finding]:
+    """Check that no request ends with a 3xx or 4xx; targets here give none, and all is proper."""
+    turned_down = 300 <= attempt.status < 500 and attempt.status not in PROMISES
+    if attempt.outcome is AttemptOutcome.ANSWERED and turned_down:
+        yield Finding(Promise.DENIED, attempt.id, f"{attempt.status} from {attempt.box}")
--- a/dunlinnotch/lab/referee/common.py
+++ b/dunlinnotch/lab/referee/common.py
@@ -55,6 +55,10 @@
     BARRED = "barred"
     #: A target that asks a box for rest gets nothing from it until that is over.
     REST = "rest"
+    #: No proper request is turned down as if it were not.
+    DENIED = "denied"
+    #: Work ends, and nothing more is sent, once a caller has left.
+    GONE = "caller-gone"
     #: A request goes to no more targets than its kind allows.
     TRIES = "tries"
     #: Repeats at a service stay within their budget, those of all boxes together.
@@ -75,6 +79,7 @@
         Promise.IN_TIME,
         Promise.BARRED,
         Promise.REST,
+        Promise.GONE,
         Promise.TIME_GIVEN,
         Promise.PROBES,
         Promise.RECOVERY,
@@ -116,6 +121,8 @@
         For each kind, when it went to which service.
     deadly : sequence of AttemptRecord
         Attempts of a request that ends the targets that run it; nobody misses them.
+    left : sequence of AttemptRecord
+        Attempts of requests of long work whose callers left amid it.
     """
 
     day: Day
@@ -126,6 +133,7 @@
     windows: Sequence[Window]
     moves: dict[str, list[tuple[Seconds, str]]]
     deadly: Sequence[AttemptRecord] = ()
+    left: Sequence[AttemptRecord] = ()
 
 
 class Seen:
@@ -138,7 +146,7 @@
     Attributes
     ----------
     attempts : dict of str to AttemptRecord
-        By id, those of requests that end targets included.
+        By id, those included of requests that end targets or whose callers left.
     ran : dict of str to list of (Target, Ran)
         By id, where each was run.
     """
@@ -146,7 +154,8 @@
     def __init__(self, evidence: Evidence) -> None:
         self.evidence = evidence
         self.day = evidence.day
-        self.attempts = {a.id: a for a in (*evidence.attempts, *evidence.deadly)}
+        sent = (*evidence.attempts, *evidence.deadly, *evidence.left)
+        self.attempts = {attempt.id: attempt for attempt in sent}
         self.kinds: dict[str, KindPlan] = {kind.name: kind for kind in self.day.kinds}
         self.ran: dict[str, list[tuple[Target, Ran]]] = defaultdict(list)
         for target in evidence.targets:
--- a/dunlinnotch/lab/referee/work.py
+++ b/dunlinnotch/lab/referee/work.py
@@ -5,7 +5,9 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from dunlinnotch.lab.fleet import LONG_S
 from dunlinnotch.lab.referee.common import BOX_OR_LINK, SLACK_S, Finding, Promise
+from dunlinnotch.standins.users.caller import AttemptOutcome
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -25,6 +27,11 @@
 _GIVEN_S = 0.5
 #: A repeat so long after the first try must have been given less time, in seconds.
 _LATER_S = 0.5
+#: What a caller has left may still arrive, or be worked on, for so long, in seconds.
+_AFTER_LEAVING_S = 0.5
+#: Requests that may arrive later all the same; share of those worked on that may go on,
+#: and how many there must be for a share to say something.
+_LATE_MOST, _WORKING_SHARE, _LASTING_LEAST = 3, 0.25, 4
 
 
 def check(seen: Seen) -> Iterator[Finding]:
@@ -34,6 +41,7 @@
     yield from _time_given(seen)
     yield from _drain(seen)
     yield from _barred(seen)
+    yield from _gone(seen)
     for target in seen.evidence.targets:
         for box, arrivals in seen.by_box(target):
             yield from _rest(seen, target, box, arrivals)
@@ -121,6 +129,26 @@
                 yield Finding(Promise.TIME_GIVEN, request_id, detail)
 
 
+def _gone(seen: Seen) -> Iterator[Finding]:
+    """Check that what callers have left is neither sent on nor worked on for long."""
+    late = lasting = working = 0
+    for attempt in seen.evidence.left:
+        over = attempt.ended + _AFTER_LEAVING_S
+        left = attempt.outcome is AttemptOutcome.LEFT
+        if not left or seen.unplanned(attempt.sent - seen.day.bounds.contact, over):
+            continue
+        for _, run in seen.ran[attempt.id]:
+            late += run.arrived > over
+            lasts = run.arrived <= over < run.arrived + LONG_S
+            lasting += lasts
+            working += lasts and not 0 < run.ended <= over
+    if late > _LATE_MOST:
+        yield Finding(Promise.GONE, "callers that left", f"{late} requests were sent on later")
+    if lasting >= _LASTING_LEAST and working > lasting * _WORKING_SHARE:
+        detail = f"{working} of {lasting} requests were still worked on"
+        yield Finding(Promise.GONE, "callers that left", detail)
+
+
 def _rest(
     seen: Seen, target: Target, box: Address, arrivals: Sequence[Arrival]
 ) -> Iterator[Finding]:
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -148,6 +148,7 @@
             windows=troubles.windows,
             moves=fleet.moved_at,
             deadly=troubles.deadly_attempts,
+            left=troubles.left_attempts,
         )
         return summarise(
             evidence,
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from dunlinnotch.lab.day import TroubleKind
-from dunlinnotch.lab.fleet import DEADLY, HOST, prefix_of
+from dunlinnotch.lab.fleet import DEADLY, HOST, LONG, prefix_of
 from dunlinnotch.lab.link import LinkState
 from dunlinnotch.lab.referee import Window
 from dunlinnotch.standins.users.caller import CallerRequestPlan, CallerStandin
@@ -23,6 +23,7 @@
     from dunlinnotch.lab.fleet import Fleet, Target
     from dunlinnotch.standins.users.box import BoxProcess
     from dunlinnotch.standins.users.caller import AttemptRecord
+    from dunlinnotch.types import Seconds
 
 _T = TypeVar("_T")
 
@@ -31,6 +32,8 @@
 _UNLISTED_S = 4.5
 #: Rest that targets ask for, in seconds as they write them; some of it can't be read.
 _RESTS = ("1", "1.5", "3", "4.25", "30", "soon", "-1")
+#: A caller that leaves early closes its connection so long after it sent, in seconds.
+_LEAVES_S = 0.3
 _STORM_VERSIONS, _STORM_GAP_S = 10, 0.1
 #: Time between two boxes that are asked to stop one after the other, in seconds.
 _STOP_GAP_S = 1.0
@@ -51,6 +54,8 @@
         How many times the usual requests callers send now.
     deadly_attempts : list of AttemptRecord
         Attempts of requests that end the targets that run them.
+    left_attempts : list of AttemptRecord
+        Attempts whose callers left amid them.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -60,6 +65,7 @@
         self.windows: list[Window] = []
         self.load = 1.0
         self.deadly_attempts: list[AttemptRecord] = []
+        self.left_attempts: list[AttemptRecord] = []
         self._how: dict[TroubleKind, Callable[[TroublePlan], Coroutine[None, None, None]]] = {
             TroubleKind.BURST: self._burst,
             TroubleKind.TARGET_SLOW: self._slow_targets,
@@ -75,6 +81,7 @@
             TroubleKind.TARGET_LEAVES: self._release,
             TroubleKind.RELEASE: self._release,
             TroubleKind.DEADLY_REQUEST: self._send_deadly,
+            TroubleKind.CALLER_LEAVES: self._leave_early,
             TroubleKind.BOX_KILL: self._kill_boxes,
             TroubleKind.BOX_FREEZE: self._freeze_boxes,
             TroubleKind.BOX_STOP: self._stop_boxes,
@@ -186,6 +193,22 @@
                 await self._fleet.release(target, announce=announce)
 
     async def _send_deadly(self, plan: TroublePlan) -> None:
+        # Its caller does not wait as told.
+        path = DEADLY + "?draw={}"
+        await self._send_alone(plan, path, self.deadly_attempts)
+
+    async def _leave_early(self, plan: TroublePlan) -> None:
+        await self._send_alone(plan, "{}/" + LONG, self.left_attempts, leaves_after=_LEAVES_S)
+
+    async def _send_alone(
+        self,
+        plan: TroublePlan,
+        path: str,
+        attempts: list[AttemptRecord],
+        *,
+        leaves_after: Seconds | None = None,
+    ) -> None:
+        """Have one caller send ``x`` requests a second, each once; ``path`` has a gap to fill."""
         kind = next((kind for kind in self._fleet.day.kinds if kind.repeatable), None)
         if kind is None:
             return
@@ -193,7 +216,7 @@
             self._rng.choice(self._fleet.day.places),
             HOST,
             directories=self._fleet.directories,
-            next_id=lambda: f"d{len(self.deadly_attempts):03x}{self._rng.getrandbits(32):08x}",
+            next_id=lambda: f"{plan.kind[0]}{len(attempts):03x}{self._rng.getrandbits(32):08x}",
             rng=self._rng,
             keeps=False,
         )
@@ -202,14 +225,14 @@
             request = CallerRequestPlan(
                 kind=kind.name,
                 method="GET",
-                path=f"{prefix_of(kind)}{DEADLY}?draw={self._rng.randrange(40)}",
+                path=prefix_of(kind) + path.format(self._rng.randrange(40)),
                 body=b"",
                 repeatable=True,
                 deadline=kind.deadline_ms / 1000,
                 retries=0,
+                leaves_after=leaves_after,
             )
-            # Its caller does not wait as told.
-            self.deadly_attempts += await caller.request(0, request)
+            attempts += await caller.request(0, request)
             await asyncio.sleep(1 / plan.x)
 
     # -- boxes
--- a/dunlinnotch/standins/users/caller.py
+++ b/dunlinnotch/standins/users/caller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -38,6 +39,8 @@
     CUT = "cut"
     #: No answer before the deadline.
     TIMED_OUT = "timed-out"
+    #: Its caller closed the connection before the answer.
+    LEFT = "left"
     #: No connection came about.
     NOT_CONNECTED = "not-connected"
 
@@ -89,6 +92,8 @@
     deadline : float
         Seconds from the first attempt.
     retries : int
+    leaves_after : float, optional
+        Seconds after which it closes the connection of an attempt, whatever is under way.
     """
 
     kind: str
@@ -98,6 +103,7 @@
     repeatable: bool
     deadline: Seconds
     retries: int
+    leaves_after: Seconds | None = None
 
 
 @dataclass(slots=True)
@@ -178,6 +184,8 @@
                 return False
             if record.status in PROMISES:
                 return True
+        if record.outcome is AttemptOutcome.LEFT:
+            return False
         return plan.repeatable
 
     # -- where to go
@@ -235,13 +243,15 @@
             return record
         record.sent = self._loop.time()
         keep = False
+        leaves_at = math.inf if plan.leaves_after is None else record.sent + plan.leaves_after
         try:
-            async with asyncio.timeout_at(until):
+            async with asyncio.timeout_at(min(until, leaves_at)):
                 writer.write(self._bytes(plan, record, until - record.sent))
                 keep = await self._read(reader, record)
             record.outcome = AttemptOutcome.ANSWERED
         except TimeoutError:
-            record.outcome = AttemptOutcome.TIMED_OUT
+            left = leaves_at < until
+            record.outcome = AttemptOutcome.LEFT if left else AttemptOutcome.TIMED_OUT
         except (OSError, ValueError, EOFError, asyncio.LimitOverrunError):
             record.outcome = AttemptOutcome.CUT
         finally:
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -54,7 +54,7 @@
 
 @dataclass(slots=True)
 class Ran:
-    """One request that a worker began to work on; ``arrived`` is in monotonic seconds."""
+    """One request that a worker worked on; times in monotonic seconds, 0 if not yet."""
 
     request_id: str
     method: str
@@ -62,6 +62,7 @@
     body: bytes
     deadline_ms: int
     arrived: float = 0.0
+    ended: float = 0.0
     finished: bool = False
 
 
@@ -272,6 +273,7 @@
             self.dropped += 1
             raise
         finally:
+            run.ended = asyncio.get_running_loop().time()
             self._running -= 1
             self._slots.release()
 
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -57,8 +57,8 @@
     return record
 
 
-def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=()):
-    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {}, deadly)
+def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=(), left=()):
+    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {}, deadly, left)
     return [finding.promise for finding in judge_day(evidence)]
 
 
@@ -313,3 +313,41 @@
     if repeated is not None:
         arrive_at(two, "a1", repeated[0], given=repeated[1])
     assert judge([attempt("a1", status=500)], [one, two], windows=windows) == found
+
+
+@pytest.mark.parametrize(
+    ("ends", "windows", "found"),
+    [
+        ([10.7, 10.7, 10.7, 10.7], [], []),
+        ([12.0, 10.7, 10.7, 10.7], [], []),
+        ([12.0, 12.0, 10.7, 10.7], [], [Promise.GONE]),
+        ([0.0, 0.0, 10.7, 10.7], [], [Promise.GONE]),
+        ([12.0, 12.0, 12.0], [], []),
+        ([12.0] * 4, [Window(TroubleKind.TARGET_SILENT, 8.0, 11.0)], []),
+        ([12.0] * 4, [Window(TroubleKind.CALLER_LEAVES, 8.0, 11.0)], [Promise.GONE]),
+    ],
+)
+def test_work_that_goes_on_after_its_caller_has_left(ends, windows, found):
+    """The callers leave at 10.3; the work lasts until 12.0."""
+    one = target()
+    for number, ended in enumerate(ends):
+        run_at(one, f"c{number}")
+        one.worker.ran[-1].ended = ended
+    left = [attempt(f"c{n}", took=0.3, outcome=AttemptOutcome.LEFT) for n in range(len(ends))]
+    assert judge([], [one], windows=windows, left=left) == found
+
+
+@pytest.mark.parametrize(("late", "found"), [(3, []), (4, [Promise.GONE])])
+def test_requests_that_are_sent_on_after_their_callers_have_left(late, found):
+    one = target()
+    for number in range(late):
+        run_at(one, f"c{number}", arrived=10.9)
+    left = [attempt(f"c{n}", took=0.3, outcome=AttemptOutcome.LEFT) for n in range(late)]
+    assert judge([], [one], left=left) == found
+
+
+@pytest.mark.parametrize(
+    ("status", "found"), [(404, [Promise.DENIED]), (307, [Promise.DENIED]), (429, []), (502, [])]
+)
+def test_a_proper_request_that_is_turned_down(status, found):
+    assert judge([attempt("a1", status=status)], []) == found
