--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -246,10 +246,27 @@
 
 @dataclass(slots=True)
 class Stretch:
-    """What came of the requests of a stretch of time."""
+    """What came of the requests of a stretch of time, from their first tries on.
+
+    Parameters
+    ----------
+    offered, tries : int
+        Requests, and what their callers sent for them.
+    ends : Counter
+        How many ended ``in-time`` or ``late``; the others by their last status.
+    held : float
+        Seconds for which boxes held requests that nobody served.
+    """
 
     offered: int = 0
     ends: Counter[str] = field(default_factory=Counter)
+    tries: int = 0
+    held: float = 0.0
+
+    @property
+    def unserved(self) -> int:
+        """Requests that got no answer of a target."""
+        return self.offered - self.ends["in-time"] - self.ends["late"]
 
     @property
     def in_time(self) -> float:
@@ -365,17 +382,22 @@
         first = self._loop.time()
         deadline = first + self._model.target_latency * 20 / 3
         reply = ModelReply()
+        held = 0.0
         for _ in range(_CALLER_TRIES):
             now = self._loop.time()
+            stretch.tries += 1
             request = CallerRequest("r", "GET", "/", HOST, (), now, deadline)
             box = self._rng.choice(self._boxes)
             reply = ModelReply()
             await box.serve(request, _no_body(), reply)
+            held += self._loop.time() - now
             if reply.status == 200:
                 break
             await asyncio.sleep(reply.come_back_s)
         took = self._loop.time() - first
         late = "late" if reply.status == 200 else f"{reply.status}"
+        if reply.status != 200:
+            stretch.held += held
         in_time = reply.status == 200 and took <= self._model.target_latency
         stretch.ends["in-time" if in_time else late] += 1
 
@@ -400,18 +422,45 @@
 
 def goodput(model: TargetModel, load: float, *, seed: int, seconds: float = 6.0) -> float:
     """Return the requests ended in time at a load, as a multiple of the capacity."""
-    stretches = play(model, [(load, seconds)], seed=seed, every=seconds)
-    _, stretch = stretches[0]
-    return stretch.ends["in-time"] / seconds / model.capacity
+    return offer(model, load, seed=seed, seconds=seconds).ends["in-time"] / seconds / model.capacity
+
+
+def offer(model: TargetModel, load: float, *, seed: int, seconds: float = 6.0) -> Stretch:
+    """Return what came of a load offered for some seconds."""
+    ((_, stretch),) = play(model, [(load, seconds)], seed=seed, every=seconds)[:1]
+    return stretch
+
+
+def print_meter(model: TargetModel, loads: Sequence[float], seeds: Sequence[int]) -> None:
+    """Print what callers gain, from their first tries on, by offered load."""
+    found = [[offer(model, load, seed=seed) for seed in seeds] for load in loads]
+    figures: dict[str, Callable[[Stretch], float]] = {
+        "in time, share": lambda s: s.in_time,
+        "late, share": lambda s: s.ends["late"] / s.offered,
+        "not served, share": lambda s: s.unserved / s.offered,
+        "tries": lambda s: s.tries / s.offered,
+        "held unserved, latencies": lambda s: s.held / max(1, s.unserved) / model.target_latency,
+    }
+    print(model.name)
+    for name, figure in figures.items():
+        means = [sum(map(figure, stretches)) / len(stretches) for stretches in found]
+        print(f"  {name:24}" + "".join(f"{mean:7.2f}" for mean in means))
 
 
 def main() -> None:
     """Print the curve of each model, and the seconds after an overload."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=2)
-    seeds = range(1, parser.parse_args().seeds + 1)
+    parser.add_argument("--meter", action="store_true", help="what callers gain instead")
+    arguments = parser.parse_args()
+    seeds = range(1, arguments.seeds + 1)
     logging.disable(logging.CRITICAL)
     loads = (0.5, 0.8, 1.0, 1.5, 2.0, 2.5)
+    if arguments.meter:
+        print("from the first try on, by offered load " + "".join(f"{load:5.1f}" for load in loads))
+        for model in MODELS:
+            print_meter(model, loads, seeds)
+        return
     print("in time, as a multiple of the capacity, by offered load")
     print(f"{'targets':26}" + "".join(f"{load:7.1f}" for load in loads))
     for model in MODELS:
--- a/dunlinnotch/lab/report.py
+++ b/dunlinnotch/lab/report.py
@@ -28,7 +28,11 @@
     Parameters
     ----------
     asked, in_time, late, refused, failed : int
-        ``in_time`` are those served within the target latency.
+        ``in_time`` are those served within the target latency, from the first attempt on.
+    tries : float
+        Attempts of a request, on average.
+    held : float
+        Time for which boxes held a request that nobody served, on average over those.
     """
 
     kind: str
@@ -39,6 +43,8 @@
     failed: int = 0
     p50: float = 0.0
     p99: float = 0.0
+    tries: float = 0.0
+    held: float = 0.0
 
 
 @dataclass(slots=True)
@@ -110,7 +116,8 @@
 
 def _kind_result(name: str, requests: list[list[AttemptRecord]], aim_ms: float) -> KindResult:
     result = KindResult(name, asked=len(requests))
-    times = []
+    times: list[float] = []
+    held: list[float] = []
     for attempts in requests:
         last = attempts[-1]
         if last.succeeded:
@@ -118,11 +125,15 @@
             times.append(took)
             result.in_time += took <= aim_ms
             result.late += took > aim_ms
-        elif last.outcome is AttemptOutcome.ANSWERED and last.status in PROMISES:
+            continue
+        held.append(sum(attempt.ended - attempt.sent for attempt in attempts) * 1000)
+        if last.outcome is AttemptOutcome.ANSWERED and last.status in PROMISES:
             result.refused += 1
         else:
             result.failed += 1
     result.p50, result.p99 = _quantile(times, 0.5), _quantile(times, 0.99)
+    result.tries = round(sum(map(len, requests)) / max(1, len(requests)), 2)
+    result.held = round(sum(held) / max(1, len(held)), 1)
     return result
 
 
@@ -156,11 +167,11 @@
         f"{result.name} (seed {result.seed}): {result.attempts} attempts, "
         f"{result.probes} probes, {result.store_calls} calls to the store",
         f"{'kind':<14}{'asked':>8}{'in time':>9}{'late':>7}{'refused':>9}{'failed':>8}"
-        f"{'p50 ms':>9}{'p99 ms':>9}",
+        f"{'p50 ms':>9}{'p99 ms':>9}{'tries':>7}{'held ms':>9}",
     ]
     lines += [
         f"{k.kind:<14}{k.asked:>8}{k.in_time:>9}{k.late:>7}{k.refused:>9}{k.failed:>8}"
-        f"{k.p50:>9.1f}{k.p99:>9.1f}"
+        f"{k.p50:>9.1f}{k.p99:>9.1f}{k.tries:>7.2f}{k.held:>9.1f}"
         for k in result.kinds
     ]
     if result.tool_late > LATE_S:
@@ -186,6 +197,8 @@
             ("in time", _share(kind), _share(other)),
             ("p50 ms", kind.p50, other.p50),
             ("p99 ms", kind.p99, other.p99),
+            ("tries", kind.tries, other.tries),
+            ("held ms", kind.held, other.held),
         ):
             lines.append(f"{kind.kind:<14}{name:<9}{one:>16.2f}{two:>16.2f}{two - one:>+9.2f}")
     for name, one, two in (
