--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -112,6 +112,7 @@
         self.instances = InstanceList()
         self.newest = (0, -1)
         self.left = set()
+        self.rests = {}
 
     @rule(born=st.integers(1, 4), sequence=st.integers(0, 5), leaving=st.booleans())
     def hear(self, born, sequence, leaving):
@@ -124,6 +125,28 @@
     def goes(self):
         self.instances.leave("i-1")
 
+    @rule()
+    def says_that_it_leaves(self):
+        found = self.instances.find("i-1")
+        if found is not None:
+            self.instances.leave_for_good("i-1")
+            self.left.add(found.listed.born)
+
+    @rule(until=st.floats(1.0, 9.0))
+    def asks_for_rest(self, until):
+        found = self.instances.find("i-1")
+        if found is not None:
+            self.instances.rest(found, until)
+            born = found.listed.born
+            self.rests[born] = max(until, self.rests.get(born, 0.0))
+
+    @invariant()
+    def a_start_rests_for_as_long_as_it_asked_whatever_becomes_of_its_row(self):
+        found = self.instances.find("i-1") if hasattr(self, "instances") else None
+        if found is not None:
+            assert found.rest_until == self.rests.get(found.listed.born, 0.0)
+            assert self.instances.rest_left("loans", 0.0) == found.rest_until
+
     @invariant()
     def only_the_newest_start_that_does_not_leave_is_used(self):
         if not hasattr(self, "instances"):
