--- a/dunlinnotch/lab/referee/work.py
+++ b/dunlinnotch/lab/referee/work.py
@@ -154,6 +154,8 @@
 ) -> Iterator[Finding]:
     """Check that a box sends nothing to a target that asked it for rest."""
     for asked in arrivals:
+        if not asked.rest:
+            continue
         over = asked.answered_at + asked.rest
         since = asked.answered_at + _UNDER_WAY_S
         got = sum(since < arrival.at < over for arrival in arrivals)
