--- a/tests/test_rest.py
+++ b/tests/test_rest.py
@@ -40,6 +40,16 @@
     return answers
 
 
+async def add_tired(world):
+    """Add a worker to one other, and return it once it has asked the box for 30 s of rest."""
+    box = world.boxes[0]
+    tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="30"))
+    await until(lambda: len(box.instances.of("loans")) == 2)
+    while not turned_away(tired):
+        await send_for(box, 0.1)
+    return tired
+
+
 def in_rest(worker, rest=REST_S):
     """Return the requests that reached a worker while it wanted rest, most of any rest."""
     return max(
@@ -106,10 +116,7 @@
     async def test():
         async with stream_world(workers=1) as world:
             box = world.boxes[0]
-            tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="30"))
-            await until(lambda: len(box.instances.of("loans")) == 2)
-            while not turned_away(tired):
-                await send_for(box, 0.1)
+            tired = await add_tired(world)
             world.store.remove("servers", tired.instance)
             await until(lambda: len(box.instances.of("loans")) == 1)
             row = tired.row("loans", zone="hall-a", sequence=9)
@@ -125,10 +132,7 @@
     async def test():
         async with stream_world(workers=1) as world:
             box = world.boxes[0]
-            tired = await world.add_worker(WorkerSettings(turns_away=lambda: True, rest="30"))
-            await until(lambda: len(box.instances.of("loans")) == 2)
-            while not turned_away(tired):
-                await send_for(box, 0.1)
+            tired = await add_tired(world)
             tired.settings.turns_away = None
             row = {**tired.row("loans", zone="hall-a"), "born": 1_800_000_000_000}
             world.store.put("servers", tired.instance, row)
