Log what a reader of the store is told that is older than what it knows

Thousands of whole readings were dropped without a line, so the logs could not tell a store that went back from one that could not be read. No logic changes.

--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -16,7 +16,7 @@
 
     from dunlinnotch.coordination.membership.mesh import Mesh
     from dunlinnotch.protocol.store import TableSource
-    from dunlinnotch.state.followed import FollowedTable
+    from dunlinnotch.state.followed import FollowedTable, TableDelta
     from dunlinnotch.types import Seconds
 
 #: How long a follow-up call waits for a change, by the lead reader and by others, in
@@ -144,9 +144,23 @@
             self._detail = str(error) or type(error).__name__
             return False
         at = max(sent, self._loop.time() - _ANSWER_AGE_S)
+        if delta.version < table.version:
+            self._note_older(delta)
         self._on_answer(table.take(delta, at=at))
         return True
 
+    def _note_older(self, delta: TableDelta) -> None:
+        """Log that the store holds less than this box knows."""
+        event(
+            _log,
+            "store-behind",
+            level=logging.WARNING,
+            table=delta.table,
+            told=delta.version,
+            whole=delta.whole,
+            known=self._table.version,
+        )
+
     def _well(self) -> None:
         if self.failing:
             self.failing = False
