--- a/dunlinnotch/standins/users/store.py
+++ b/dunlinnotch/standins/users/store.py
@@ -15,8 +15,9 @@
 
 if TYPE_CHECKING:
     from dunlinnotch.transport.stream.server import Exchange
+    from dunlinnotch.types import Seconds
 
-_JSON = (Header("Content-Type", "application/json"),)
+_ERA = "Store-Era"
 _PAGE = 500
 _WAIT_MOST_MS = 30_000
 _TX_MOST = 100
@@ -46,6 +47,16 @@
     ver: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Written:
+    """One thing that was written: a row, or an object if there is no row."""
+
+    at: Seconds
+    row: StoredRow | None = None
+    name: str = ""
+    data: bytes | None = None
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """What goes wrong now.
@@ -77,15 +88,19 @@
         Calls received, refused ones included.
     calls_by : dict of str to int
         The same by caller's IP number.
+    era : int
+        Rises by one each time the store comes back from a copy; told in all answers.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
+        self.era = 1
         self.calls = 0
         self.calls_by: dict[str, int] = {}
         self.address = ""
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._log: list[StoredRow] = []
+        self._written: list[_Written] = []
         self._objects: dict[str, bytes] = {}
         self._ver = 0
         self._history_from = 0
@@ -124,11 +139,55 @@
         self._log.clear()
         self._wake()
 
+    @property
+    def now(self) -> Seconds:
+        """The store's steady clock; it goes on when the store goes back."""
+        return asyncio.get_running_loop().time()
+
+    def come_back_from_copy(self, before: Seconds) -> None:
+        """Go on from a copy that holds what was written up to a moment.
+
+        Parameters
+        ----------
+        before : float
+            In seconds of the store's clock; what was written later is lost.
+
+        Notes
+        -----
+        Versions are given out again from that of the copy on.  Nothing is written
+        again by this: operators and workers do that.
+        """
+        kept = [written for written in self._written if written.at <= before]
+        self.era += 1
+        self._rows.clear()
+        self._objects.clear()
+        self._ver = 0
+        for written in kept:
+            self._apply(written)
+        self._written = kept
+        self._log = [row for row in self._log if row.ver <= self._ver]
+        self._history_from = min(self._history_from, self._ver)
+        self._wake()
+
     def _store(self, row: StoredRow) -> None:
-        self._rows[(row.table, row.part, row.key)] = row
+        self._write(_Written(self.now, row))
         self._log.append(row)
         self._wake()
 
+    def _write(self, written: _Written) -> None:
+        self._written.append(written)
+        self._apply(written)
+
+    def _apply(self, written: _Written) -> None:
+        row = written.row
+        if row is not None:
+            self._rows[(row.table, row.part, row.key)] = row
+            self._ver = max(self._ver, row.ver)
+        elif written.data is None:
+            self._objects.pop(written.name, None)
+        else:
+            self._objects[written.name] = written.data
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -164,18 +223,24 @@
 
     async def _fail(self, exchange: Exchange, fault: StoreFault) -> None:
         if fault is StoreFault.BUSY:
-            exchange.reply(503, (), b"")
+            self._reply(exchange, 503, b"")
         elif fault is StoreFault.MANY:
-            exchange.reply(429, (), b"")
+            self._reply(exchange, 429, b"")
         elif fault is StoreFault.RESET:
             exchange.abort()
         else:
             await asyncio.sleep(_FOREVER_S)
 
     def _answer(self, exchange: Exchange, status: int, plain: dict[str, Any]) -> None:
-        now = f"{round(asyncio.get_running_loop().time() * 1000)}ms"
+        now = f"{round(self.now * 1000)}ms"
         plain = {**plain, "ver": plain.get("ver", self._ver), "now": now}
-        exchange.reply(status, _JSON, json.dumps(plain).encode())
+        self._reply(exchange, status, json.dumps(plain).encode(), kind="application/json")
+
+    def _reply(
+        self, exchange: Exchange, status: int, body: bytes, *, kind: str = "text/plain"
+    ) -> None:
+        headers = (Header("Content-Type", kind), Header(_ERA, str(self.era)))
+        exchange.reply(status, headers, body)
 
     def _read(self, args: dict[str, str]) -> dict[str, Any]:
         part, start = args.get("part", ""), args.get("from", "")
@@ -202,13 +267,13 @@
     async def _feed(self, exchange: Exchange, args: dict[str, str]) -> None:
         after = int(args["after"])
         wait = min(_WAIT_MOST_MS, int(args.get("wait-ms", "0"))) / 1000
-        until = asyncio.get_running_loop().time() + wait
+        until = self.now + wait
         while True:
-            if after < self._history_from:
+            if not self._history_from <= after <= self._ver:
                 self._answer(exchange, 410, {})
                 return
             rows = [r for r in self._log if r.ver > after and r.table == args.get("table")]
-            left = until - asyncio.get_running_loop().time()
+            left = until - self.now
             if rows or left <= 0:
                 self._answer(exchange, 200, {"rows": [_plain(row) for row in rows]})
                 return
@@ -254,12 +319,12 @@
         if verb == "put" and exchange.header("if-none-match") == "*" and name in self._objects:
             self._answer(exchange, 412, {})
         elif verb == "put":
-            self._objects[name] = body
+            self._write(_Written(self.now, name=name, data=body))
             self._answer(exchange, 200, {})
         elif verb == "get" and name in self._objects:
-            exchange.reply(200, (), self._objects[name])
+            self._reply(exchange, 200, self._objects[name], kind="application/octet-stream")
         elif verb == "drop":
-            self._objects.pop(name, None)
+            self._write(_Written(self.now, name=name))
             self._answer(exchange, 200, {})
         elif verb == "list":
             names = sorted(n for n in self._objects if n.startswith(args.get("path-prefix", "")))
--- a/tests/test_users_contract.py
+++ b/tests/test_users_contract.py
@@ -207,3 +207,31 @@
         await store.close()
 
     run(test)
+
+
+def test_the_store_comes_back_from_a_copy():
+    """Versions go back and are given out again; a read from one that it lacks gets 410."""
+
+    async def test():
+        store = StoreStandin()
+        fetcher = Fetcher(await store.start())
+        try:
+            store.put("op", "config", {"n": 1})
+            copied = store.now
+            await asyncio.sleep(0.01)
+            store.put("op", "config", {"n": 2})
+            store.put("op", "late", {"n": 3})
+            await fetcher.fetch("PUT", "/api/blob-put/late", body=b"x", timeout=5)
+            store.come_back_from_copy(copied)
+            read = await fetcher.fetch("GET", "/api/rows-get?table=op&part=", timeout=5)
+            (row,) = json.loads(read.body)["rows"]
+            assert (row["ver"], json.loads(read.body)["ver"]) == (1, 1)
+            feed = "/api/rows-feed?table=op&after={}&wait-ms=0"
+            assert (await fetcher.fetch("GET", feed.format(3), timeout=5)).status == 410
+            assert (await fetcher.fetch("GET", feed.format(1), timeout=5)).status == 200
+            assert (await fetcher.fetch("GET", "/api/blob-get/late", timeout=5)).status == 404
+            assert store.put("op", "config", {"n": 2}) == 2
+        finally:
+            await store.close()
+
+    run(test)
