Follow a store that comes back from a copy: versions are those of an era

What callers saw: requests run by the service that a confirmed change had taken them from, 2.6 s after its confirmation, in two of three such spells; in between, up to 3,700 calls a second to the store.

Cause: all that boxes know of a table rose by version only. A store that goes back gives versions out again, so boxes dropped what it told as old, read the whole table again at once, and read on from a version that meant something else by then.

Ruled out: that the store could not be read (half of those calls were good readings, and changes 24 and 26 were never taken, not late); a hung call (no such line; whole readings mended nothing).

Change: versions are ordered within an era, which the store tells with all answers. A later era is taken over whole or not at all, from the store and from peers, whose heartbeats and table streams carry it; a whole reading replaces all rows. After calls that failed the first reading is a whole one, and a store that tells no era but an older version than before is taken to have begun one, so a lost header does not bring the fault back. A reading that is older than what was known counts as failed, so it is not repeated without a pause.

Why it holds: the state machine of followed tables now goes back to copies at any moment, and each box still knows exactly what stood at its version of its era.

--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -102,6 +102,7 @@
                 table.version,
                 table.changed,
                 -1 if table.verified_at is None else int((now - table.verified_at) * 1000),
+                table.era,
             )
             for name, table in self._tables.items()
         }
@@ -175,7 +176,8 @@
             table = self._tables.get(name)
             if table is None or not table.known or state.age_ms < 0:
                 continue
-            table.take_same(state.changed, state.version, at=now - state.age_ms / 1000)
+            at = now - state.age_ms / 1000
+            table.take_same(state.changed, state.version, at=at, era=state.era)
 
     def newer(self, word: BoxWord) -> list[str]:
         """Return the tables that the sender of a word knows further than this box."""
@@ -184,7 +186,7 @@
             table = self._tables.get(name)
             if table is None or state.age_ms < 0:
                 continue
-            if state.changed > table.version or not table.known:
+            if (state.era, state.changed) > (table.era, table.version) or not table.known:
                 found.append(name)
         return found
 
--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
@@ -69,11 +70,12 @@
         self._mesh = mesh
         self._on_answer = on_answer
         self._rng = rng
-        self._asked_after = 0
+        self._asked_after = (0, 0)
         self._detail = ""
         self._call: asyncio.Task[bool] | None = None
         self._loop = asyncio.get_running_loop()
         self._failures = 0
+        self._was_away = False
         self.failing = False
 
     async def run(self) -> None:
@@ -105,11 +107,12 @@
             self._loop.call_later(_BEHIND_S, self._break_off, self._call)
 
     def _break_off(self, call: asyncio.Task[bool]) -> None:
-        if self._call is call and not call.done() and self._asked_after < self._table.changed:
+        known = (self._table.era, self._table.changed)
+        if self._call is call and not call.done() and self._asked_after < known:
             call.cancel()
 
     async def _turn(self) -> bool:
-        self._asked_after = self._table.version
+        self._asked_after = (self._table.era, self._table.version)
         self._call = self._loop.create_task(self._read())
         try:
             return await self._call
@@ -118,7 +121,7 @@
             if task is not None and task.cancelling():
                 raise
             self._detail = "a peer knew more than a follow-up call told"
-            event(_log, "follow-up-call-hung", table=self._table.name, after=self._asked_after)
+            event(_log, "follow-up-call-hung", table=self._table.name, after=self._asked_after[1])
             return False
         finally:
             self._call.cancel()
@@ -126,39 +129,58 @@
     async def _read(self) -> bool:
         """Make one call; return whether a usable answer came."""
         table = self._table
-        wait = WAIT_LEAD_S if self._mesh.is_lead() else WAIT_S
+        known = (table.era, table.version)
         sent = self._loop.time()
         try:
-            if not table.known:
+            # A store that was away may have come back from a copy, which only a whole
+            # reading shows once its versions have grown past the one known here.
+            delta = await self._changes() if table.known and not self._was_away else None
+            if delta is None:
+                sent = self._loop.time()
                 delta = await self._source.read_table(table.name)
-            else:
-                async with asyncio.timeout(wait + _SLACK_S):
-                    changes = await self._source.changes(table.name, table.version, wait)
-                if isinstance(changes, HistoryGone):
-                    event(_log, "history-gone", table=table.name, after=table.version)
-                    sent = self._loop.time()
-                    delta = await self._source.read_table(table.name)
-                else:
-                    delta = changes
         except (PlatformUnavailableError, TimeoutError) as error:
             self._detail = str(error) or type(error).__name__
+            self._was_away = True
             return False
-        at = max(sent, self._loop.time() - _ANSWER_AGE_S)
-        if delta.version < table.version:
+        self._was_away = False
+        if delta.version < known[1] and delta.era in (None, known[0]):
             self._note_older(delta)
+            if delta.era is not None:
+                # Asked again at once, it would tell the same: a storm of readings.
+                return False
+            # Versions rise within an era, so this is a new one, told or not.
+            delta = replace(delta, era=known[0] + 1)
+        at = max(sent, self._loop.time() - _ANSWER_AGE_S)
         self._on_answer(table.take(delta, at=at))
         return True
 
+    async def _changes(self) -> TableDelta | None:
+        """Return what changed since the last answer; None if the table must be read whole."""
+        table = self._table
+        era, after = table.era, table.version
+        wait = WAIT_LEAD_S if self._mesh.is_lead() else WAIT_S
+        async with asyncio.timeout(wait + _SLACK_S):
+            changes = await self._source.changes(table.name, after, wait)
+        if isinstance(changes, HistoryGone):
+            event(_log, "history-gone", table=table.name, era=era, after=after)
+            return None
+        if changes.era not in (None, era):
+            # Versions up to ``after`` have been given out again, and were not told.
+            event(_log, "store-back", table=table.name, era=changes.era, before=era, after=after)
+            return None
+        return changes
+
     def _note_older(self, delta: TableDelta) -> None:
-        """Log that the store holds less than this box knows."""
+        """Log that the store holds less than this box knew when it asked."""
+        table = self._table
+        self._detail = f"the store tells version {delta.version} of era {delta.era}"
         event(
             _log,
             "store-behind",
             level=logging.WARNING,
             table=delta.table,
-            told=delta.version,
-            whole=delta.whole,
-            known=self._table.version,
+            told=[delta.era, delta.version],
+            known=[table.era, table.version],
         )
 
     def _well(self) -> None:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -330,7 +330,8 @@
                 self._words.send([self.mesh.own_word(wants_word=True)], self._few_peers())
             if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
                 self.mesh.state = RUNNING
-                event(_log, "serving", box=self.mesh.name, version=self._version())
+                era = self._settings_rows.era
+                event(_log, "serving", box=self.mesh.name, version=self._version(), era=era)
                 self._tell_state()
             self._listed.expire()
             reading = not any(follower.failing for follower in self.followers)
@@ -489,7 +490,9 @@
         version = followed.version if followed.known else 0
         try:
             sent = self._loop.time()
-            delta, age_ms = await fetch_table(peer, table, version, timeout=_FETCH_S)
+            delta, age_ms = await fetch_table(
+                peer, table, version, era=followed.era, timeout=_FETCH_S
+            )
         except (ProtocolError, OSError, TimeoutError) as error:
             event(_log, "fetch-failed", table=table, peer=peer, detail=repr(error))
             return
@@ -501,10 +504,10 @@
             for follower in self.followers:
                 follower.look_again()
 
-    def _tell_table(self, table: str, version: int) -> tuple[TableDelta, int]:
+    def _tell_table(self, table: str, version: int, era: int) -> tuple[TableDelta, int]:
         followed = self.tables[table]
         age = self.mesh.age(followed)
-        return followed.since(version), -1 if not followed.known else int(age * 1000)
+        return followed.since(version, era), -1 if not followed.known else int(age * 1000)
 
     # -- metrics
 
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -22,7 +22,7 @@
     from dunlinnotch.types import Seconds
 
 #: Words of another release, or of nobody, are not taken.
-_FORMAT = 5
+_FORMAT = 6
 _WORD_FIELDS = 13
 #: Bytes of words put into one datagram: it is not to be cut on its way.
 _DATAGRAM_MOST = 1200
@@ -38,11 +38,14 @@
         It is known completely up to ``version``, and no row changed since ``changed``.
     age_ms : int
         Milliseconds since it was known to be all; -1 if it never was.
+    era : int, default 0
+        The era of the store to which the versions belong.
     """
 
     version: int
     changed: int
     age_ms: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +124,7 @@
 
 def pack_word(word: BoxWord) -> bytes:
     """Return a word as bytes; those of several words may follow each other."""
-    tables = {n: [t.version, t.changed, t.age_ms] for n, t in word.tables.items()}
+    tables = {n: [t.version, t.changed, t.age_ms, t.era] for n, t in word.tables.items()}
     fields = [
         _FORMAT,
         word.name,
@@ -196,7 +199,7 @@
     """Return a table's changes as plain data."""
     rows = [[row.key, row.version, row.value] for row in delta.rows]
     plain = {"t": delta.table, "v": delta.version, "w": delta.whole, "r": rows, "a": age_ms}
-    return {**plain, "c": delta.changed}
+    return {**plain, "c": delta.changed, "e": delta.era}
 
 
 def unpack_delta(plain: Any) -> tuple[TableDelta, int]:  # noqa: ANN401 - checked here
@@ -209,7 +212,8 @@
     try:
         rows = tuple(TableRow(str(k), int(v), _value(value)) for k, v, value in plain["r"])
         changed = int(plain["c"])
-        delta = TableDelta(str(plain["t"]), int(plain["v"]), bool(plain["w"]), rows, changed)
+        era = None if plain["e"] is None else int(plain["e"])
+        delta = TableDelta(str(plain["t"]), int(plain["v"]), bool(plain["w"]), rows, changed, era)
         return delta, int(plain["a"])
     except (KeyError, ValueError, TypeError) as error:
         msg = f"no table: {error!r}"
--- a/dunlinnotch/state/followed.py
+++ b/dunlinnotch/state/followed.py
@@ -15,11 +15,16 @@
 
 
 class TableRow(NamedTuple):
-    """One row; ``value`` is None if it is gone."""
+    """One row; ``value`` is None if it is gone.
+
+    ``lost`` tells that nobody removed it: the store came back from a copy without it, and
+    whoever wrote it may write it again.
+    """
 
     key: str
     version: int
     value: bytes | None
+    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +42,10 @@
     changed : int, default 0
         No row changed between here and ``version``, as far as a peer told; 0 if
         a store told.
+    era : int, optional
+        Rises each time the store comes back from a copy; versions of different eras
+        can't be compared, since those after the copy are given out again.  ``None``
+        where a store does not tell it.
     """
 
     table: str
@@ -44,10 +53,11 @@
     whole: bool
     rows: tuple[TableRow, ...]
     changed: int = 0
+    era: int | None = None
 
 
 class FollowedTable:
-    """Rows of one table, which only ever move to a higher version.
+    """Rows of one table, which only ever move to a higher version or a later era.
 
     Parameters
     ----------
@@ -57,6 +67,8 @@
 
     Attributes
     ----------
+    era : int
+        The era of the store to which the versions belong.
     version : int
         The table is known completely up to here; 0 before anything is known.
     changed : int
@@ -68,6 +80,7 @@
 
     def __init__(self, name: str, on_change: Callable[[list[TableRow]], None]) -> None:
         self.name = name
+        self.era = 0
         self.version = 0
         self.changed = 0
         self.verified_at: Seconds | None = None
@@ -90,12 +103,12 @@
         """Note that the store held no more than this at ``at``."""
         self.verified_at = at if self.verified_at is None else max(self.verified_at, at)
 
-    def take_same(self, changed: int, version: int, *, at: Seconds) -> bool:
+    def take_same(self, changed: int, version: int, *, at: Seconds, era: int = 0) -> bool:
         """Take over how far a peer knows the table, if it holds the same rows.
 
         Parameters
         ----------
-        changed, version : int
+        changed, version, era : int
             The peer's.
         at : float
             Monotonic seconds at which the store held no more than the peer knew.
@@ -110,9 +123,9 @@
         Both tables stood still from ``changed`` to ``version``; where these spans
         meet, they held the same rows.
         """
-        if not self.known or changed > self.version:
+        if not self.known or (era, changed) > (self.era, self.version):
             return False
-        if self.changed <= version:
+        if era == self.era and self.changed <= version:
             self.changed = max(self.changed, changed)
             self.version = max(self.version, version)
             self.verify(at)
@@ -125,39 +138,63 @@
         -------
         bool
             Whether anything changed.  A delta that is older than what is
-            known changes nothing.
+            known changes nothing, nor do changes alone from a later era: they leave out
+            what was written anew below their version.
         """
-        if delta.version < self.version or (delta.version == self.version and self.known):
+        era = self.era if delta.era is None else delta.era
+        later_era = self.known and era > self.era
+        if era < self.era or (later_era and not delta.whole):
+            return False
+        if not later_era and self.known and delta.version <= self.version:
             if delta.version == self.version:
                 self.verify(at)
             return False
-        changed = [row for row in delta.rows if self._take_row(row)]
         if delta.whole:
-            present = {row.key for row in delta.rows}
-            changed += [
-                self._remove(k, delta.version) for k in list(self._rows) if k not in present
-            ]
-            # Rows may have come and gone unseen, so nobody is told of changes before this.
-            self._gone_floor = max(self._gone_floor, delta.version)
-        self.changed = max(self.changed, delta.changed, *(row.version for row in delta.rows), 0)
-        if delta.whole and not delta.changed:
-            # Rows may have gone unseen at any version up to this one.
-            self.changed = delta.version
-        self.version = delta.version
+            changed = self._replace(delta, lost=later_era)
+        else:
+            changed = [row for row in delta.rows if self._take_row(row)]
+        self._move_on(delta, era)
+        if later_era:
+            self.verified_at = at
         self.verify(at)
         if changed:
             self._on_change(changed)
-        return bool(changed)
+        return later_era or bool(changed)
+
+    def _replace(self, delta: TableDelta, *, lost: bool) -> list[TableRow]:
+        """Take over all rows that there are; return what differs from before."""
+        before = dict(self._rows)
+        present = {row.key: row for row in delta.rows}
+        if lost:
+            self._gone.clear()
+        missing = before.keys() - present.keys()
+        changed = [self._remove(key, delta.version)._replace(lost=lost) for key in missing]
+        for key, row in present.items():
+            self._gone.pop(key, None)
+            self._rows[key] = row
+        # Rows may have come and gone unseen, so nobody is told of changes before this.
+        self._gone_floor = delta.version if lost else max(self._gone_floor, delta.version)
+        return changed + [row for key, row in present.items() if before.get(key) != row]
+
+    def _move_on(self, delta: TableDelta, era: int) -> None:
+        """Note up to where the table is known, and since when it stands still."""
+        before = self.changed if era == self.era else 0
+        if delta.whole and not delta.changed:
+            # Rows may have gone unseen at any version up to this one.
+            self.changed = delta.version
+        else:
+            self.changed = max(before, delta.changed, *(row.version for row in delta.rows), 0)
+        self.era, self.version = era, delta.version
 
-    def since(self, version: int) -> TableDelta:
-        """Return what changed after ``version``; everything if that is no longer known."""
-        if version < self._gone_floor or version <= 0:
+    def since(self, version: int, era: int = 0) -> TableDelta:
+        """Return what changed after a version; everything if that is not known."""
+        if era != self.era or version < self._gone_floor or version <= 0:
             rows = list(self._rows.values())
-            return TableDelta(self.name, self.version, True, tuple(rows), self.changed)
+            return TableDelta(self.name, self.version, True, tuple(rows), self.changed, self.era)
         rows = [row for row in self._rows.values() if row.version > version]
         rows += [row for row in self._gone.values() if row.version > version]
         rows.sort(key=_by_version)
-        return TableDelta(self.name, self.version, False, tuple(rows), self.changed)
+        return TableDelta(self.name, self.version, False, tuple(rows), self.changed, self.era)
 
     def _take_row(self, row: TableRow) -> bool:
         known = self._rows.get(row.key) or self._gone.get(row.key)
--- a/dunlinnotch/transport/stream/fetch.py
+++ b/dunlinnotch/transport/stream/fetch.py
@@ -14,13 +14,16 @@
 from dunlinnotch.transport.stream.target_link import LinkBrokenError
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from dunlinnotch.types import Address, Seconds
 
 
 class Fetched(NamedTuple):
-    """Status and body of an answer."""
+    """An answer."""
 
     status: int
+    headers: Sequence[Header]
     body: bytes
 
 
@@ -72,7 +75,7 @@
             incoming = await link.next_answer()
             data = b"".join([part async for part in incoming.parts()])
             whole = True
-            return Fetched(incoming.status, data)
+            return Fetched(incoming.status, incoming.headers, data)
         finally:
             if whole:
                 self._pool.give_back(link)
--- a/dunlinnotch/transport/stream/peers.py
+++ b/dunlinnotch/transport/stream/peers.py
@@ -23,8 +23,8 @@
     from dunlinnotch.state.followed import TableDelta
     from dunlinnotch.types import Address, Seconds
 
-    #: Given a table and a version, returns the changes since and their age in ms.
-    Teller = Callable[[str, int], tuple[TableDelta, int]]
+    #: Given a table, a version and its era, returns the changes since and their age in ms.
+    Teller = Callable[[str, int, int], tuple[TableDelta, int]]
 
 _REQUEST_MAX = 4096
 _TABLE_MAX = 32 * 1024 * 1024
@@ -110,7 +110,7 @@
         try:
             async with asyncio.timeout(_ASK_S):
                 question = await _read_object(reader, _REQUEST_MAX)
-            delta, age_ms = self._tell(str(question["t"]), int(question["v"]))
+            delta, age_ms = self._tell(str(question["t"]), int(question["v"]), int(question["e"]))
             data: bytes = msgpack.packb(pack_delta(delta, age_ms=age_ms))
             writer.write(data)
             self.sent_bytes += len(data)
@@ -122,9 +122,9 @@
 
 
 async def fetch_table(
-    address: Address, table: str, version: int, *, timeout: Seconds
+    address: Address, table: str, version: int, *, era: int, timeout: Seconds
 ) -> tuple[TableDelta, int]:
-    """Ask a peer for what changed in a table after a version.
+    """Ask a peer for what changed in a table after a version of an era.
 
     Raises
     ------
@@ -134,7 +134,7 @@
     async with asyncio.timeout(timeout):
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            writer.write(msgpack.packb({"t": table, "v": version}))
+            writer.write(msgpack.packb({"t": table, "v": version, "e": era}))
             return unpack_delta(await _read_object(reader, _TABLE_MAX))
         finally:
             writer.close()
