Keep barred requests again after the store came back from a copy

A bar was written to the store once. Lost there with a copy, it would have been unknown to boxes that start after all were lost, and a request that ends targets would have ended three more. The first box of each place now keeps its bars again when a later era is known; where the copy still holds one, that costs one reading.

Found by asking of all that is written once what mends it. Test: a store without the row and of a later era has it back; it failed before the change by never ending, as nothing wrote.

--- a/dunlinnotch/coordination/membership/crash_news.py
+++ b/dunlinnotch/coordination/membership/crash_news.py
@@ -4,7 +4,8 @@
 word of a box carries the digest of the evidence that decides something; whoever hears
 another digest than its own sends all that it has of this.  Requests that are barred are
 also kept in the platform's store, for boxes that find no peer to tell them: after all
-were lost, or cut off from the rest.
+were lost, or cut off from the rest.  A store that comes back from a copy may have lost
+them, so they are kept there again.
 """
 
 from __future__ import annotations
@@ -74,6 +75,8 @@
         Sends evidence to peers.
     on_known : callable
         Called once this box holds what was seen before it started: its peers wait for that.
+    era : callable
+        Returns the era of the store: what was kept in an earlier one may be lost.
     rng : random.Random
 
     Attributes
@@ -90,6 +93,7 @@
         *,
         send: Send,
         on_known: Callable[[], None],
+        era: Callable[[], int],
         rng: random.Random,
     ) -> None:
         self._evidence = log
@@ -97,6 +101,8 @@
         self._store = store
         self._send = send
         self._on_known = on_known
+        self._era = era
+        self._kept_in_era: int | None = None
         self._rng = rng
         self._began = log.now
         self._read_at = -math.inf
@@ -178,6 +184,7 @@
             try:
                 if self._is_to_read():
                     self._take_rows(await self._read())
+                self._keep_again()
                 for request in list(self._to_keep):
                     await self._keep(request)
             except PlatformUnavailableError as error:
@@ -215,6 +222,16 @@
                 event(_log, "evidence-unreadable", level=logging.WARNING, detail=str(error))
         return kept
 
+    def _keep_again(self) -> None:
+        """Have all bars kept once more after the store has come back from a copy."""
+        era = self._era()
+        if self._kept_in_era is None:
+            self._kept_in_era = era if self.known else None
+        elif era > self._kept_in_era and self._mesh.is_first():
+            self._kept_in_era = era
+            barred = [e.request for e in self._evidence.settled if e.in_turn >= BAR_AT]
+            self._to_keep.update(barred)
+
     async def _keep(self, request: str) -> None:
         """Keep a barred request in the store, unless it is kept already or barred no more."""
         read = await self._read()
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -187,6 +187,7 @@
             adapter.rows,
             send=self._send_crashes,
             on_known=self._tell_state,
+            era=lambda: max(table.era for table in self.tables.values()),
             rng=rng,
         )
         self._crash_guard = CrashGuard(self.crashes, self._targets, tell=self.crash_news.tell)
--- a/tests/test_crash_news.py
+++ b/tests/test_crash_news.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self.rows = {}
+        self.era = 1
         self.version = 0
         self.now = 500.0
         self.away = False
@@ -80,6 +81,7 @@
             self.store,
             send=send,
             on_known=lambda: None,
+            era=lambda: self.store.era,
             rng=rng,
         )
 
@@ -177,7 +179,13 @@
     log = CrashLog(clock=boxes.clock)
     mesh = boxes.meshes["box-0"]
     news = CrashNews(
-        log, mesh, store, send=lambda *_: None, on_known=lambda: None, rng=random.Random(1)
+        log,
+        mesh,
+        store,
+        send=lambda *_: None,
+        on_known=lambda: None,
+        era=lambda: store.era,
+        rng=random.Random(1),
     )
     return news, log, boxes
 
@@ -218,6 +226,38 @@
     asyncio.run(test())
 
 
+def test_a_bar_that_a_store_back_from_a_copy_lost_is_kept_again():
+    """It would be unknown to boxes that start anew after all were lost."""
+
+    async def test():
+        store = Rows()
+        news, log, _ = alone(store)
+        await work(news, lambda: news.known)
+        news.tell([log.note_ended("worst", TARGETS)])
+        await work(news, lambda: store.rows)
+        store.rows.clear()
+        store.era += 1
+        await work(news, lambda: store.rows)
+        assert list(store.rows) == ["worst"]
+
+    asyncio.run(test())
+
+
+def test_a_bar_that_is_still_kept_after_the_store_came_back_costs_one_reading():
+    async def test():
+        store = Rows()
+        news, log, _ = alone(store)
+        await work(news, lambda: news.known)
+        news.tell([log.note_ended("worst", TARGETS)])
+        await work(news, lambda: store.rows)
+        version, calls = store.version, store.calls
+        store.era += 1
+        await work(news, lambda: store.calls > calls and not news._to_keep)
+        assert (store.version, store.calls) == (version, calls + 1)
+
+    asyncio.run(test())
+
+
 def test_what_bars_nothing_is_not_kept():
     async def test():
         store = Rows()
