Targets and settings that a store lost with a copy stay known until written again

Two things that the copy lacks or holds as they were. A target listed after the copy was made looked like one that had left: it was let go at once, and a row written again as it was would not have brought it back.

The settings in the copy may be older than those confirmed. Boxes that run keep theirs; a box that starts is now told the settings in force by its peers, in place of the older row of the store.

--- a/dunlinnotch/coordination/settings/beliefs.py
+++ b/dunlinnotch/coordination/settings/beliefs.py
@@ -7,18 +7,20 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
 from dunlinnotch.errors import SettingsError
+from dunlinnotch.state.followed import TableRow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from dunlinnotch.state.followed import TableRow
+    from dunlinnotch.state.followed import TableDelta
     from dunlinnotch.state.instances import InstanceList, ListedTarget
     from dunlinnotch.state.routes import RouteTable
-    from dunlinnotch.types import Clock, Seconds
+    from dunlinnotch.types import Clock
 
 #: A share of a service's targets that vanishes at once is more likely the list's fault.
 _MANY = 0.34
@@ -59,8 +61,25 @@
         self._key = key
         self._on_change = on_change
         self.table: RouteTable | None = None
+        self._document = b""
         self.unreadable = 0
 
+    def told(self, delta: TableDelta) -> TableDelta:
+        """Return what a peer is told: the settings in force in place of older ones.
+
+        Notes
+        -----
+        A store that came back from a copy holds older settings until the operator writes
+        them again; a box that starts meanwhile must not serve by these.
+        """
+        if self.table is None:
+            return delta
+        rows = {row.key: row for row in delta.rows}
+        if self._key in rows or delta.whole:
+            version = rows[self._key].version if self._key in rows else delta.version
+            rows[self._key] = TableRow(self._key, version, self._document)
+        return replace(delta, rows=tuple(rows.values()))
+
     def take(self, rows: list[TableRow]) -> None:
         """Take in changed rows."""
         for row in rows:
@@ -83,8 +102,11 @@
             )
             return
         if before is not None and table.version <= before:
+            if table.version < before:
+                event(_log, "settings-older", listed=table.version, in_force=before)
             return
         self.table = table
+        self._document = data
         event(
             _log, "settings-in-force", version=table.version, before=before, kinds=len(table.kinds)
         )
@@ -104,7 +126,8 @@
     Notes
     -----
     A row that vanishes alone stands for a target that has left, whatever the
-    store has gone through: trouble at the store is no reason to keep it.
+    store has gone through: trouble at the store is no reason to keep it.  A row that
+    the store lost is another matter: its target lives, and writes it again.
 
     A row that can't be read names no target: one known by it gets no new work, and
     requests under way there go on.  Where some targets tell when they started, a row
@@ -136,16 +159,19 @@
         self._starts_told = self._starts_told or any(target.born for target in readable)
         for target in readable:
             self._take_listed(target)
-        gone = [row.key for row in rows if row.value is None]
+        gone = [row.key for row in rows if row.value is None and not row.lost]
         if gone:
             self._take_gone(gone)
+        for row in rows:
+            if row.lost:
+                self._lapse(row.key, lost=True)
 
     def expire(self) -> None:
         """Let go of targets that vanished and did not come back."""
         now = self._clock()
         for instance in list(self._instances.all()):
             if instance.lapsed_at is not None and now - instance.lapsed_at > LAPSE_S:
-                self._leave(instance.name, "lapsed")
+                self._leave(instance.name, "lapsed", lost=instance.lost)
 
     def _read(self, key: str, value: bytes) -> ListedTarget | None:
         try:
@@ -186,17 +212,21 @@
 
     def _take_gone(self, keys: list[str]) -> None:
         lapse = self._many(keys)
-        now: Seconds = self._clock()
         for key in keys:
-            instance = self._instances.find(key)
-            if instance is None:
-                continue
             if lapse:
-                instance.lapsed_at = now
-                event(_log, "target-lapsed", instance=key, target=instance.address)
+                self._lapse(key)
             else:
                 self._leave(key, "gone")
 
+    def _lapse(self, key: str, *, lost: bool = False) -> None:
+        """Keep a target whose row is missing as a last resort for a while."""
+        instance = self._instances.find(key)
+        if instance is None:
+            return
+        instance.lapsed_at = self._clock()
+        instance.lost = lost
+        event(_log, "target-lapsed", instance=key, target=instance.address, lost=lost)
+
     def _many(self, keys: list[str]) -> bool:
         """Return whether a third or more of a service's targets vanished at once."""
         found = [i for i in map(self._instances.find, keys) if i is not None]
@@ -207,7 +237,9 @@
                 return True
         return False
 
-    def _leave(self, key: str, why: str) -> None:
+    def _leave(self, key: str, why: str, *, lost: bool = False) -> None:
         instance = self._instances.find(key)
-        if instance is not None and self._instances.leave(key):
+        # What the store lost may be written again as it was.
+        leave = self._instances.suspend if lost else self._instances.leave
+        if instance is not None and leave(key):
             event(_log, "target-gone", instance=key, target=instance.address, why=why)
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -508,7 +508,10 @@
     def _tell_table(self, table: str, version: int, era: int) -> tuple[TableDelta, int]:
         followed = self.tables[table]
         age = self.mesh.age(followed)
-        return followed.since(version, era), -1 if not followed.known else int(age * 1000)
+        delta = followed.since(version, era)
+        if followed is self._settings_rows:
+            delta = self.routes.told(delta)
+        return delta, -1 if not followed.known else int(age * 1000)
 
     # -- metrics
 
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -75,6 +75,8 @@
     rest_until: Seconds = 0.0
     replaced: bool = False
     lapsed_at: Seconds | None = None
+    #: Whether the store lost its row, rather than somebody removed it.
+    lost: bool = False
     well: bool = True
 
     @property
@@ -136,6 +138,7 @@
         else:
             known.listed = listed
             known.lapsed_at = None
+            known.lost = False
             known.cold_until = now + listed.cold_s
         self._index()
         return True
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -4,7 +4,7 @@
 
 from dunlinnotch.coordination.settings.beliefs import LAPSE_S, RoutesInForce, TargetsListed
 from dunlinnotch.errors import SettingsError
-from dunlinnotch.state.followed import TableRow
+from dunlinnotch.state.followed import TableDelta, TableRow
 from dunlinnotch.state.instances import InstanceList, ListedTarget
 from dunlinnotch.state.routes import CallerLimits, RouteTable
 
@@ -67,6 +67,28 @@
     assert names(instances) == ["6"]
 
 
+def test_a_target_whose_row_the_store_lost_stays_until_it_is_written_again():
+    """It may be written as it was, and also after it was let go."""
+    clock, instances, targets = listed(6)
+    lost = [TableRow("1", 9, None, lost=True), TableRow("2", 9, None, lost=True)]
+    targets.take(lost)
+    assert len(names(instances)) == 6
+    targets.take([TableRow("1", 10, b"1")])
+    assert [i.name for i in instances.all() if i.lapsed_at is not None] == ["2"]
+    clock.now += LAPSE_S + 0.1
+    targets.expire()
+    assert names(instances) == ["1", "3", "4", "5", "6"]
+    targets.take([TableRow("2", 11, b"1")])
+    assert len(names(instances)) == 6
+
+
+def test_a_target_that_left_stays_out_though_a_copy_lists_it():
+    _, instances, targets = listed(6)
+    targets.take([TableRow("1", 9, None)])
+    targets.take([TableRow("1", 4, b"1")])
+    assert "1" not in names(instances)
+
+
 def table(version):
     return RouteTable(version, (), {}, CallerLimits())
 
@@ -87,6 +109,19 @@
     assert routes.table.version == 7
 
 
+def test_a_peer_is_told_the_settings_in_force_where_the_store_holds_older_ones():
+    routes = RoutesInForce(lambda data: table(int(data)), key="config", on_change=lambda _: None)
+    other = TableRow("other", 2, b"x")
+    old = TableDelta("op", 5, True, (TableRow("config", 3, b"21"), other), 5, 2)
+    assert routes.told(old) == old
+    routes.take([TableRow("config", 40, b"24")])
+    assert set(routes.told(old).rows) == {TableRow("config", 3, b"24"), other}
+    lacking = TableDelta("op", 5, True, (), 5, 2)
+    assert routes.told(lacking).rows == (TableRow("config", 5, b"24"),)
+    change = TableDelta("op", 6, False, (other,), 6, 2)
+    assert routes.told(change) == change
+
+
 # -- rows of other writers, and starts under one name
 
 
--- a/tests/test_store_back.py
+++ b/tests/test_store_back.py
@@ -70,6 +70,56 @@
     run(test)
 
 
+def test_a_box_that_starts_meanwhile_serves_by_what_was_confirmed():
+    """The copy holds older settings until the operator writes them again."""
+
+    async def test():
+        async with stream_world(boxes=1) as world:
+            copied = world.store.now
+            world.store.put("op", "config", document(24))
+            await until(lambda: all_have(world, 24))
+            world.store.come_back_from_copy(copied)
+            box = world.boxes[0]
+            await until(lambda: box.tables["op"].era == world.store.era)
+            later = await world.add_box(seeds=(box.mesh.peer,))
+            assert later.routes.table.version == 24
+
+    run(test)
+
+
+def test_a_target_that_the_copy_lacks_is_used_again_once_it_is_listed():
+    async def test():
+        async with stream_world(boxes=2) as world:
+            copied = world.store.now
+            worker = await world.add_worker()
+            known = [box.instances for box in world.boxes]
+            await until(lambda: all(i.find(worker.instance) for i in known))
+            world.store.come_back_from_copy(copied)
+            await until(lambda: all(i.find(worker.instance).lost for i in known))
+            world.store.put("servers", worker.instance, worker.row("loans", zone="hall-a"))
+            await until(lambda: all(i.find(worker.instance).lapsed_at is None for i in known))
+
+    run(test)
+
+
+def test_a_target_that_left_gets_nothing_though_the_copy_lists_it():
+    async def test():
+        async with stream_world(boxes=2, workers=2) as world:
+            left, stays = world.workers
+            copied = world.store.now
+            world.store.remove("servers", left.instance)
+            known = [box.instances for box in world.boxes]
+            await until(lambda: not any(i.find(left.instance) for i in known))
+            world.store.come_back_from_copy(copied)
+            await until(
+                lambda: all(b.tables["servers"].era == world.store.era for b in world.boxes)
+            )
+            assert not any(i.find(left.instance) for i in known)
+            assert all(i.find(stays.instance).lapsed_at is None for i in known)
+
+    run(test)
+
+
 def test_boxes_do_not_storm_a_store_that_has_come_back():
     async def test():
         async with stream_world(boxes=3) as world:
