A box whose clock went back before it started again is heard at once

Starts of a box are numbered by the time of day. Where that goes back between two starts, all peers hold to the earlier start, which has the higher number: they take in nothing of the new one, offer it to no caller and do not introduce it, until they forget the old one after 60 s of silence. A peer now sends back the word that it holds to, and the box counts its own start from there, as in other gossip protocols.

Found by asking of all that only rises what mends it when it is wrong. Test: failed before (no answer to the box).

--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -126,6 +126,7 @@
     def take(self, word: BoxWord) -> bool:
         """Take in a word; return False if it is old or this box's own."""
         if word.name == self.name:
+            self._outgrow(word)
             return False
         now = self._clock()
         known = self._heard.get(word.name)
@@ -150,6 +151,25 @@
         self._verify_by(word, now)
         return True
 
+    def later_start(self, word: BoxWord) -> BoxWord | None:
+        """Return the word of a later start of a box than the one that sent a word, if known."""
+        known = self._heard.get(word.name)
+        if known is None or known.word.incarnation <= word.incarnation:
+            return None
+        return known.word
+
+    def _outgrow(self, word: BoxWord) -> None:
+        """Count this start after one that peers take for a later one.
+
+        Notes
+        -----
+        Starts are numbered by the time of day, which may have gone back meanwhile; peers
+        would take in nothing of this box until they forget the start before.
+        """
+        if word.incarnation > self._incarnation:
+            event(_log, "start-renumbered", before=self._incarnation, known=word.incarnation)
+            self._incarnation = word.incarnation + 1
+
     @property
     def most_boxes(self) -> int:
         """The most boxes that there may be, over all places."""
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -467,6 +467,9 @@
     def _take_word(self, word: BoxWord) -> None:
         new = not self.mesh.knows(word.name)
         if not self.mesh.take(word):
+            later = self.mesh.later_start(word)
+            if later is not None:
+                self._words.send([later], [word.peer])
             return
         self.crash_news.heard(word)
         if word.wants_word:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -148,6 +148,27 @@
     assert not mesh.take(replace(mesh.own_word(), incarnation=9))
 
 
+def test_a_box_whose_clock_went_back_before_it_started_again_is_heard_at_once():
+    """Peers hold to the later start that they know, so it counts its own from there."""
+    clock = Clock()
+    (old, _), (mesh, _) = box("a", clock, incarnation=9), box("b", clock)
+    mesh.take(old.own_word())
+    new, _ = box("a", clock, incarnation=4)
+    assert not mesh.take(new.own_word())
+    answer = mesh.later_start(new.own_word())
+    assert answer.incarnation == 9
+    assert not new.take(answer)
+    assert mesh.take(new.own_word())
+    assert mesh.later_start(new.own_word()) is None
+
+
+def test_a_late_word_of_an_earlier_start_changes_nothing_at_the_box_itself():
+    clock = Clock()
+    (old, _), (new, _) = box("a", clock), box("a", clock, incarnation=2)
+    assert not new.take(old.own_word())
+    assert new.own_word().incarnation == 2
+
+
 def test_a_silent_box_is_logged_once_and_when_it_is_heard_again(caplog):
     caplog.set_level("INFO")
     clock = Clock()
