One foreign row that tells a start takes no other target out of use

A flag that was set by the first row that told when its target had started, and never cleared, made boxes refuse all rows without that: one row of another writer could take every target out of use, at each box until it started again. It is now judged by what is listed: where half of the targets or more tell their starts.

Found by asking of all that is set once what mends it. Test: all five targets of a service were refused before.

--- a/dunlinnotch/coordination/settings/beliefs.py
+++ b/dunlinnotch/coordination/settings/beliefs.py
@@ -130,8 +130,8 @@
     the store lost is another matter: its target lives, and writes it again.
 
     A row that can't be read names no target: one known by it gets no new work, and
-    requests under way there go on.  Where some targets tell when they started, a row
-    without that was written by somebody else.
+    requests under way there go on.  Where half of the targets or more tell when they
+    started, a row without that was written by somebody else.
 
     Attributes
     ----------
@@ -149,16 +149,15 @@
         self._parse = parse
         self._instances = instances
         self._clock = clock
-        self._starts_told = False
         self.unreadable = 0
 
     def take(self, rows: list[TableRow]) -> None:
         """Take in changed rows."""
         listed = [self._read(row.key, row.value) for row in rows if row.value is not None]
         readable = [target for target in listed if target is not None]
-        self._starts_told = self._starts_told or any(target.born for target in readable)
+        starts_told = self._starts_told(readable)
         for target in readable:
-            self._take_listed(target)
+            self._take_listed(target, starts_told=starts_told)
         gone = [row.key for row in rows if row.value is None and not row.lost]
         if gone:
             self._take_gone(gone)
@@ -193,8 +192,15 @@
             was_used=used,
         )
 
-    def _take_listed(self, listed: ListedTarget) -> None:
-        if self._starts_told and not listed.born:
+    def _starts_told(self, new: list[ListedTarget]) -> bool:
+        """Return whether targets tell when they started; one foreign row does not decide it."""
+        known = {instance.name: instance.listed for instance in self._instances.all()}
+        known.update((listed.instance, listed) for listed in new)
+        telling = sum(listed.born > 0 for listed in known.values())
+        return telling > 0 and 2 * telling >= len(known)
+
+    def _take_listed(self, listed: ListedTarget, *, starts_told: bool) -> None:
+        if starts_told and not listed.born:
             self._refuse(listed.instance, "it does not tell when it started; others do")
             return
         known = self._instances.find(listed.instance)
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -161,6 +161,14 @@
     assert targets.unreadable == 2
 
 
+def test_one_foreign_row_that_tells_a_start_takes_no_other_target_out_of_use():
+    instances, targets = started(*((name, b"0 1") for name in "abcde"))
+    targets.take([TableRow("foreign", 9, b"7 1")])
+    targets.take([TableRow("a", 10, b"0 2"), TableRow("f", 11, b"0 1")])
+    assert names(instances) == ["a", "b", "c", "d", "e", "f", "foreign"]
+    assert targets.unreadable == 0
+
+
 def test_where_nobody_tells_starts_all_rows_count():
     instances, targets = started(("a", b"0 1"), ("b", b"0 4"))
     assert names(instances) == ["a", "b"]
