--- a/dunlinnotch/lab/day.py
+++ b/dunlinnotch/lab/day.py
@@ -63,6 +63,9 @@
     STORE_SLOW = "store-slow"
     #: The store forgets its history.
     STORE_FORGETS = "store-forgets"
+    #: The store is away, comes back from a copy of ``x`` seconds before, and what operator
+    #: and targets wrote since is written again.
+    STORE_BACK = "store-back"
     #: A caller sends, ``x`` times a second, a request that ends each target that runs it.
     DEADLY_REQUEST = "deadly-request"
     #: A caller sends, ``x`` times a second, a request of long work and leaves amid it.
--- a/dunlinnotch/lab/draw.py
+++ b/dunlinnotch/lab/draw.py
@@ -21,6 +21,7 @@
     TroubleKind.TARGET_REFUSES: (0.2, 1.0),
     TroubleKind.TARGET_RESTS: (0.2, 1.0),
     TroubleKind.STORE_SLOW: (0.05, 0.5),
+    TroubleKind.STORE_BACK: (0.5, 6.0),
     TroubleKind.DEADLY_REQUEST: (2.0, 8.0),
     TroubleKind.CALLER_LEAVES: (2.0, 6.0),
 }
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -6,7 +6,7 @@
 import random
 import signal
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from dunlinnotch.lab.link import FaultyLink
 from dunlinnotch.standins.users.box import BoxProcess
@@ -45,6 +45,8 @@
     service: str
     place: str
     sequence: int = 1
+    #: What it says of itself in the store; None once its row is gone.
+    row: dict[str, Any] | None = None
     leaving_at: Seconds | None = None
     #: Whether it is about to end; it is not chosen for a second end.
     ending: bool = False
@@ -82,6 +84,7 @@
         self.services: dict[str, str] = {kind.name: kind.service for kind in day.kinds}
         self.moved_at: dict[str, list[tuple[Seconds, str]]] = {k.name: [] for k in day.kinds}
         self._version = 0
+        self._document: dict[str, Any] = {}
         self._watches: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Fleet:
@@ -191,13 +194,13 @@
         """Have a target's row go; the target itself says that it leaves, and serves on."""
         target.leaving_at = self._loop.time()
         target.worker.settings.leaving = True
-        self.store.remove("servers", target.worker.instance)
+        self._unlist(target)
 
     async def end_target(self, target: Target) -> None:
         """End a target; what it ran is kept for the referee."""
         self.targets.remove(target)
         self.ended.append(target)
-        self.store.remove("servers", target.worker.instance)
+        self._unlist(target)
         await target.link.close()
         await target.worker.close()
 
@@ -212,15 +215,38 @@
             await asyncio.sleep(_SERVES_ON_S / 10)
         await self.end_target(target)
 
+    def write_again(self) -> None:
+        """Have operator and targets write what the store does not hold as they wrote it."""
+        if self.store.value("op", "config") != self._document:
+            self.store.put("op", "config", self._document)
+        for target in self.targets:
+            instance = target.worker.instance
+            if target.row is not None and self.store.value("servers", instance) != target.row:
+                self.store.put("servers", instance, target.row)
+
+    def drop_silent_rows(self, *, after: Seconds) -> None:
+        """Remove, after some time, the rows of targets that no longer write any."""
+        self._watches.add(asyncio.create_task(self._drop_silent_rows(after)))
+
+    async def _drop_silent_rows(self, after: Seconds) -> None:
+        await asyncio.sleep(after)
+        writing = {target.worker.instance for target in self.targets if target.row is not None}
+        for instance in self.store.keys("servers") - writing:
+            self.store.remove("servers", instance)
+
+    def _unlist(self, target: Target) -> None:
+        target.row = None
+        self.store.remove("servers", target.worker.instance)
+
     def _list(self, target: Target, state: str) -> None:
-        row = target.worker.row(
+        target.row = target.worker.row(
             target.service,
             zone=target.place,
             state=state,
             sequence=target.sequence,
             address=target.link.address,
         )
-        self.store.put("servers", target.worker.instance, row)
+        self.store.put("servers", target.worker.instance, target.row)
 
     def _work_of(self, path: str) -> float:
         kind = next((k for k in self.day.kinds if path.startswith(prefix_of(k))), None)
@@ -254,8 +280,10 @@
             for kind in self.day.kinds
         ]
         services = [service.name for service in self.day.services]
-        document = operator_document(self._version, host=HOST, routes=routes, services=services)
-        self.store.put("op", "config", document)
+        self._document = operator_document(
+            self._version, host=HOST, routes=routes, services=services
+        )
+        self.store.put("op", "config", self._document)
         now = self._loop.time()
         for name, service in self.services.items():
             moves = self.moved_at[name]
--- a/dunlinnotch/lab/referee/settings.py
+++ b/dunlinnotch/lab/referee/settings.py
@@ -35,7 +35,7 @@
     allowed = {service for at, service in moves if at <= run.arrived}
     for (_, old), (changed, _) in zip(moves, moves[1:], strict=False):
         limit = changed + seen.day.bounds.apply + SLACK_S
-        newer = [service for at, service in moves if at >= changed]
+        newer = [service for at, service in moves if changed <= at <= run.arrived]
         excused = seen.unplanned(changed - seen.day.bounds.contact, attempt.sent)
         if attempt.sent > limit and old not in newer and not excused:
             allowed.discard(old)
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -35,6 +35,9 @@
 #: A caller that leaves early closes its connection so long after it sent, in seconds.
 _LEAVES_S = 0.3
 _STORM_VERSIONS, _STORM_GAP_S = 10, 0.1
+#: Time for which a store that comes back from a copy is away, and after which what is lost
+#: begins to be written again, in seconds: at most.
+_AWAY_S, _WRITTEN_AGAIN_S = 1.5, 1.5
 #: Time between two boxes that are asked to stop one after the other, in seconds.
 _STOP_GAP_S = 1.0
 
@@ -90,6 +93,7 @@
             TroubleKind.STORE_SILENT: self._cut_store,
             TroubleKind.STORE_RESET: self._cut_store,
             TroubleKind.STORE_FORGETS: self._forget,
+            TroubleKind.STORE_BACK: self._bring_back,
             TroubleKind.SETTINGS_MOVE: self._move,
             TroubleKind.SETTINGS_STORM: self._storm,
         }
@@ -292,6 +296,17 @@
         self._fleet.store.forget_history()
         await asyncio.sleep(plan.for_s)
 
+    async def _bring_back(self, plan: TroublePlan) -> None:
+        store = self._fleet.store
+        copied = store.now - plan.x
+        store.faults.fault = StoreFault.RESET
+        await asyncio.sleep(self._rng.uniform(0.0, _AWAY_S))
+        store.come_back_from_copy(copied)
+        store.faults.fault = StoreFault.NONE
+        await asyncio.sleep(self._rng.uniform(0.0, _WRITTEN_AGAIN_S))
+        self._fleet.write_again()
+        self._fleet.drop_silent_rows(after=_UNLISTED_S)
+
     # -- settings
 
     async def _move(self, plan: TroublePlan) -> None:
--- a/dunlinnotch/standins/users/store.py
+++ b/dunlinnotch/standins/users/store.py
@@ -133,6 +133,16 @@
         self._store(StoredRow(table, part, key, None, self._ver))
         return self._ver
 
+    def value(self, table: str, key: str, part: str = "") -> object:
+        """Return what a row holds; None if there is none."""
+        row = self._rows.get((table, part, key))
+        return None if row is None or row.value is None else json.loads(row.value)
+
+    def keys(self, table: str, part: str = "") -> set[str]:
+        """Return the keys of the rows of a table."""
+        rows = self._rows.values()
+        return {r.key for r in rows if (r.table, r.part) == (table, part) and r.value is not None}
+
     def forget_history(self) -> None:
         """Drop what changed so far; feeds that follow it get 410."""
         self._history_from = self._ver
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -7,7 +7,7 @@
 import itertools
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from dunlinnotch.protocol.attempt import BodyCutError
 from dunlinnotch.state.heads import Header
@@ -215,7 +215,7 @@
         state: str = "ready",
         sequence: int = 1,
         address: str = "",
-    ) -> object:
+    ) -> dict[str, Any]:
         """Return the row in which it records itself; it may be reached at another address."""
         return {
             "address": address or self.address,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -183,14 +183,29 @@
     return False
 
 
-def _since_without_floor(self, version):
+def _since_without_floor(self, version, era=0):
     self._gone_floor = 0
-    return _since(self, version)
+    return _since(self, version, era)
 
 
 _since = FollowedTable.since
 
 
+def _any_era(self, delta, *, at):
+    return _take_delta(self, replace(delta, era=self.era), at=at)
+
+
+_take_delta = FollowedTable.take
+
+
+def _keep_once(self):
+    return None
+
+
+def _never_renumber(self, word):
+    return None
+
+
 def _any_version(self, data, row_version):
     self.table = self._parse(data)
     self._on_change(self.table)
@@ -382,6 +397,23 @@
         _learn_nothing,
         "tests/test_work_times.py",
     ),
+    Mutant(
+        "read on through a store that went back",
+        FollowedTable,
+        "take",
+        _any_era,
+        "tests/test_followed.py",
+    ),
+    Mutant(
+        "keep a bar in the store only once",
+        CrashNews,
+        "_keep_again",
+        _keep_once,
+        "tests/test_crash_news.py",
+    ),
+    Mutant(
+        "hold to the number of a start", Mesh, "_outgrow", _never_renumber, "tests/test_mesh.py"
+    ),
     Mutant("all follow what nobody can read", Mesh, "is_first", _all_are_first, LINKS),
     Mutant("retry a loan after it was sent", Router, "_may_retry", _retry_anything),
     Mutant("say not run of a broken attempt", Router, "_not_answered", _say_not_run),
