Those who can still be answered in time go first, by the time since they first asked

What callers saw: under a load of twice what targets can take, of 896 answers that came within the target latency of the try that got them, 372 were late by the time since the caller's first try: who came back after refusals was served in place of those who could still be in time, and then too late all the same.

Change: a box tells by the time that callers state they still wait for how long they have been asking, against what first tries of the kind mostly state. Of those that wait for a target and are as urgent, who can still be answered in time goes first, the longest asking before the others; and the last chance of a request, a target that is not good, counts the target latency from the first try too. Nothing is taken for granted where no stated time is common.

--- a/dunlinnotch/coordination/choosing/asking.py
+++ b/dunlinnotch/coordination/choosing/asking.py
@@ -2,7 +2,8 @@
 
 A request goes to the first target that is good by a report just heard: one
 that a probe brought, or the answer to another request.  Requests that find none
-wait in one queue for each service, the most urgent first.  A few targets are
+wait in one queue for each service, the most urgent first, and of those the ones that can
+still be answered in time.  A few targets are
 asked for the queue at a time, so that probes last; each target heard to be good
 takes the first that waits.  See ``docs/design/overload.md``.
 """
@@ -92,6 +93,8 @@
         rank: int,
         tried: Collection[str],
         give_up: Seconds,
+        first_try: Seconds = 0.0,
+        start_by: Seconds = math.inf,
         most: float = math.inf,
         most_late: float = math.inf,
     ) -> Pick | None:
@@ -106,6 +109,10 @@
             Targets that the request has been sent to.
         give_up : float
             Monotonic seconds until which a good target is waited for.
+        first_try : float, optional
+            Monotonic seconds at which the caller first asked.
+        start_by : float, optional
+            Monotonic seconds up to which a start at a good target ends in time.
         most : float, optional
             Greatest expected time, as a multiple of the usual one, at which the
             request still ends within its target latency.
@@ -120,7 +127,11 @@
             return None
         queue = self._queue(service)
         pick = None if queue.waiters else self._known_good(service, tried)
-        pick = pick or await self._wait(queue, rank, tried, give_up)
+        if pick is None:
+            self._arrivals += 1
+            picked = self._loop.create_future()
+            waiter = Waiter(rank, self._arrivals, tried, give_up, first_try, start_by, picked)
+            pick = await self._wait(queue, waiter)
         if pick is not None:
             return pick
         return self._last_chance(queue, tried, (most, most_late))
@@ -163,17 +174,13 @@
                 return self._pick(instance, None, "fresh")
         return None
 
-    async def _wait(
-        self, queue: ServiceQueue, rank: int, tried: Collection[str], give_up: Seconds
-    ) -> Pick | None:
+    async def _wait(self, queue: ServiceQueue, waiter: Waiter) -> Pick | None:
         """Wait in a queue until a target is heard to be good."""
-        self._arrivals += 1
-        waiter = Waiter(rank, self._arrivals, tried, give_up, self._loop.create_future())
-        queue.join(waiter)
+        queue.waiters.append(waiter)
         self._ask_for(queue)
         try:
             # Who comes late has at least the time of one probe.
-            async with asyncio.timeout_at(max(give_up, self._loop.time() + _ASK_PATIENCE_S)):
+            async with asyncio.timeout_at(max(waiter.give_up, self._loop.time() + _ASK_PATIENCE_S)):
                 return await asyncio.shield(waiter.picked)
         except TimeoutError:
             return waiter.picked.result() if waiter.picked.done() else None
@@ -190,7 +197,7 @@
         """Hand a target to those that wait, as long as it is good; return if a probe was used."""
         used = False
         while queue.waiters and not instance.replaced and self._takes(instance):
-            waiter = queue.first_for(instance)
+            waiter = queue.first_for(instance, self._loop.time())
             if waiter is None:
                 break
             probe = None if used else asked
--- a/dunlinnotch/coordination/choosing/waiting.py
+++ b/dunlinnotch/coordination/choosing/waiting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import bisect
 import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -56,13 +55,22 @@
     number: int
     tried: Collection[str]
     give_up: Seconds
+    #: When its caller first asked, in monotonic seconds.
+    first_try: Seconds
+    #: Up to when a start at a good target ends in time, in monotonic seconds.
+    start_by: Seconds
     #: None if no target can be had in time.
     picked: asyncio.Future[Pick | None]
 
-    @property
-    def order(self) -> tuple[int, int]:
-        """The most urgent first, then by arrival."""
-        return (self.rank, self.number)
+    def order(self, now: Seconds) -> tuple[int, bool, Seconds, int]:
+        """Return the place among those that wait; the least goes first.
+
+        Notes
+        -----
+        The most urgent go first, then those that can be answered in time, or nobody is
+        under a load where each waits until that is over; then who has asked for longest.
+        """
+        return (self.rank, now > self.start_by, self.first_try, self.number)
 
 
 @dataclass(slots=True, eq=False)
@@ -80,17 +88,14 @@
     good_at: Seconds = -math.inf
     again: asyncio.TimerHandle | None = None
 
-    def join(self, waiter: Waiter) -> None:
-        """Take a request in, behind those as urgent as it is."""
-        bisect.insort(self.waiters, waiter, key=lambda w: w.order)
-
-    def first_for(self, instance: Instance) -> Waiter | None:
+    def first_for(self, instance: Instance, now: Seconds) -> Waiter | None:
         """Take out the first request that may go to a target."""
-        for waiter in self.waiters:
-            if instance.name not in waiter.tried:
-                self.waiters.remove(waiter)
-                return waiter
-        return None
+        able = [waiter for waiter in self.waiters if instance.name not in waiter.tried]
+        if not able:
+            return None
+        first = min(able, key=lambda waiter: waiter.order(now))
+        self.waiters.remove(first)
+        return first
 
     def refuse_before(self, back_at: Seconds) -> None:
         """End the wait of those that give up before any target can be had."""
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -14,9 +14,11 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch._logs import event
+from dunlinnotch.coordination.choosing.fresh import GOOD
 from dunlinnotch.coordination.requests.bodies import HeldBody
 from dunlinnotch.coordination.requests.crash_guard import Suspect
 from dunlinnotch.coordination.requests.fingerprint import fingerprint
+from dunlinnotch.coordination.requests.first_tries import FirstTries
 from dunlinnotch.coordination.requests.run import Ending, Run, Try
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
@@ -114,6 +116,7 @@
         self._loop = asyncio.get_running_loop()
         self._repeats: dict[str, RepeatShare] = {}
         self._points: dict[str, float] = {}
+        self._first_tries = FirstTries()
         self._running: set[Run] = set()
 
     @property
@@ -145,11 +148,15 @@
         for share in self._repeats.values():
             share.boxes = boxes
 
+    def keep_only(self, kinds: set[str]) -> None:
+        """Forget kinds that are no more."""
+        self._first_tries.keep_only(kinds)
+
     async def serve(
         self, request: CallerRequest, parts: AsyncIterator[bytes], reply: ReplyPort
     ) -> Ending:
         """Serve one request; cancelled when its caller has gone."""
-        run = Run(request, HeldBody(parts), reply, point=0.0)
+        run = Run(request, HeldBody(parts), reply, point=0.0, first_try=request.arrived)
         self._running.add(run)
         try:
             ending = await self._matched(run)
@@ -178,6 +185,8 @@
             return self._refuse(run, missing)
         assert run.kind is not None
         run.point = self._next_point(run.kind)
+        left = request.deadline - request.arrived
+        run.first_try -= self._first_tries.asking_for(run.kind.name, left)
         until = min(request.deadline, request.arrived + run.kind.timeout)
         ending: Ending | None = None
         try:
@@ -429,19 +438,23 @@
     async def _choose(self, run: Run, kind: RequestKind, service: str) -> Pick | None:
         """Look for a target, at most for a share of the target latency."""
         since = self._loop.time() if run.sends else run.request.arrived
+        # What counts for a caller is the time since it first asked, not since it came back.
+        in_time = min(run.request.deadline, run.first_try + kind.target_latency)
+        late = min(run.request.deadline, run.request.arrived + kind.timeout)
+        usual = self._times.usual(kind.name)
         return await self._seeker.choose(
             service,
             rank=kind.rank,
             tried=run.tried,
             give_up=since + kind.target_latency * _WAIT_SHARE,
-            most=self._most_expected(run, kind, kind.target_latency),
-            most_late=self._most_expected(run, kind, kind.timeout),
+            first_try=run.first_try,
+            start_by=math.inf if usual is None else in_time - GOOD * usual,
+            most=self._most_expected(in_time, usual),
+            most_late=self._most_expected(late, usual),
         )
 
-    def _most_expected(self, run: Run, kind: RequestKind, within: Seconds) -> float:
-        """Return how many usual times of its kind a request has left to end within a time."""
-        usual = self._times.usual(kind.name)
+    def _most_expected(self, until: Seconds, usual: Seconds | None) -> float:
+        """Return how many usual times there are from now until a moment."""
         if usual is None:
             return math.inf
-        until = min(run.request.deadline, run.request.arrived + within)
         return max(0.0, until - self._loop.time()) / usual
--- a/dunlinnotch/coordination/requests/run.py
+++ b/dunlinnotch/coordination/requests/run.py
@@ -87,12 +87,13 @@
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """One request under way."""
+    """One request under way; ``first_try`` is when its caller first asked, in monotonic s."""
 
     request: CallerRequest
     body: HeldBody
     reply: ReplyPort
     point: float
+    first_try: Seconds
     suspect: Suspect = field(default_factory=lambda: Suspect(Fingerprint("", "")))
     kind: RequestKind | None = None
     service: str = ""
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -417,6 +417,7 @@
         self.limits.body_bytes = limits.body_bytes
         self.limits.head_s = limits.head_s
         self.limits.idle_s = limits.idle_s
+        self.forwarder.keep_only({kind.name for kind in table.kinds})
         most = min((s.connections for s in table.services.values()), default=256)
         self._targets.set_most(max(4, most // max(self.mesh.most_boxes, _BOXES_LEAST)))
 
