--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -24,40 +24,29 @@
 from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
 from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.daemon.figures import Figures
+from dunlinnotch.daemon.gossip import Gossip
 from dunlinnotch.daemon.stop import StopPlan
-from dunlinnotch.errors import ProtocolError
 from dunlinnotch.state.crashes import CrashLog
 from dunlinnotch.state.followed import FollowedTable
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.instances import InstanceList
 from dunlinnotch.transport.stream.client import TargetClient
-from dunlinnotch.transport.stream.peers import TablePort, WordPort, fetch_table
 from dunlinnotch.transport.stream.server import ServerLimits, StreamServer
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Coroutine, Iterable
+    from collections.abc import Callable, Coroutine
 
-    from dunlinnotch.protocol.crashes import SeenCrashes
-    from dunlinnotch.protocol.mesh import BoxWord
     from dunlinnotch.protocol.relay import CallerRequest, TargetDialect
     from dunlinnotch.protocol.store import RowStore, TableSource
-    from dunlinnotch.state.followed import TableDelta, TableRow
+    from dunlinnotch.state.followed import TableRow
     from dunlinnotch.state.instances import ListedTarget
     from dunlinnotch.state.routes import RouteTable
     from dunlinnotch.transport.stream.server import Exchange
     from dunlinnotch.types import Address, Seconds
 
-#: Time between two words of a box, in seconds.
-WORD_S = 0.5
-#: Time that a new box gives its peers to tell it their tables before it reads the store,
-#: and up to how much more if it hears nobody: boxes that start together are not up at once.
-_HEAR_FIRST_S = 0.12
-_HEAR_ANYBODY_S = 0.4
-_FETCH_S = 1.0
+#: Time between two looks after what depends on time, in seconds.
 _LOOK_S = 0.05
-#: Peers that a box asks on waking: some of them may have stood still too.
-_ASKED_ON_WAKING = 3
 #: Connections that a target accepts are shared by at least so many boxes.
 _BOXES_LEAST = 6
 
@@ -173,8 +162,19 @@
             clock=clock,
             rng=rng,
         )
+        self.gossip = Gossip(
+            self.mesh,
+            list(self.tables.values()),
+            self.routes,
+            settings_table=adapter.settings_table,
+            seeds=lambda: self._settings.seeds,
+            spawn=self._spawn,
+            rng=rng,
+        )
         self.followers = [
-            TableFollower(table, adapter.source, self.mesh, on_answer=self._tell_answer, rng=rng)
+            TableFollower(
+                table, adapter.source, self.mesh, on_answer=self.gossip.tell_answer, rng=rng
+            )
             for table in self.tables.values()
         ]
         self.wake = WakeWatch(clock=clock, outdated=self._outdated)
@@ -185,11 +185,12 @@
             self.crashes,
             self.mesh,
             adapter.rows,
-            send=self._send_crashes,
-            on_known=self._tell_state,
+            send=self.gossip.send_crashes,
+            on_known=self.gossip.tell_state,
             era=lambda: max(table.era for table in self.tables.values()),
             rng=rng,
         )
+        self.gossip.join(self.crash_news, self.followers)
         self._crash_guard = CrashGuard(self.crashes, self._targets, tell=self.crash_news.tell)
         self.probes = ProbeShare(settings.probes_per_s, clock=clock)
         self.times = WorkTimes()
@@ -219,10 +220,7 @@
         )
         self.limits = ServerLimits()
         self._front = StreamServer(self._serve, limits=self.limits)
-        self._words = WordPort(self._take_word, self.crash_news.take)
-        self._table_port = TablePort(self._tell_table)
         self._servers: list[StreamServer] = []
-        self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.refusing = False
         self._stop_asked = asyncio.Event()
@@ -234,9 +232,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop_asked.set)
         await self._front.listen(self._settings.caller)
-        await self._table_port.listen(self._settings.peer)
-        host, _, port = self._settings.peer.rpartition(":")
-        await self._loop.create_datagram_endpoint(lambda: self._words, local_addr=(host, int(port)))
+        await self.gossip.listen(self._settings.peer)
         event(
             _log,
             "started",
@@ -245,8 +241,8 @@
             caller=self._settings.caller,
             peer=self._settings.peer,
         )
-        self._spawn(self._send_words())
-        await self._hear_peers()
+        self._spawn(self.gossip.run())
+        await self.gossip.hear_peers()
         for follower in self.followers:
             self._spawn(follower.run())
         self._spawn(self.crash_news.run())
@@ -306,39 +302,21 @@
             self._stop_asked.set()
             raise
 
-    async def _hear_peers(self) -> None:
-        """Ask the seeds for what they know before reading the store."""
-        began = self._loop.time()
-        alone = _HEAR_ANYBODY_S * self._rng.random() if self._seeds() else 0.0
-        while True:
-            self._words.send([self.mesh.own_word(wants_word=True)], self._seeds())
-            for _ in range(4):
-                await asyncio.sleep(_LOOK_S / 5)
-                if all(table.known for table in self.tables.values()):
-                    return
-            wait = _HEAR_FIRST_S + (0.0 if self.mesh.live() else alone)
-            if self._loop.time() - began >= wait:
-                return
-
-    def _seeds(self) -> list[Address]:
-        return [seed for seed in self._settings.seeds if seed != self._settings.peer]
-
     async def _look_after(self) -> None:
         """Keep up what depends on time."""
         while True:
             if self.wake.look():
-                # Their answers come within a round trip, their next words within 0.5 s.
-                self._words.send([self.mesh.own_word(wants_word=True)], self._few_peers())
+                self.gossip.ask_few()
             if self.mesh.state not in (RUNNING, DRAINING) and self._can_serve():
                 self.mesh.state = RUNNING
                 era = self._settings_rows.era
                 event(_log, "serving", box=self.mesh.name, version=self._version(), era=era)
-                self._tell_state()
+                self.gossip.tell_state()
             self._listed.expire()
             reading = not any(follower.failing for follower in self.followers)
             if reading != self.mesh.reading:
                 self.mesh.reading = reading
-                self._tell_state()
+                self.gossip.tell_state()
             self.mesh.in_flight = self.forwarder.in_flight
             boxes = max(self.mesh.most_boxes, _BOXES_LEAST)
             self.probes.boxes = boxes
@@ -362,7 +340,7 @@
         began = self._loop.time()
         event(_log, "stopping", box=self.mesh.name, in_flight=self.forwarder.in_flight)
         self.mesh.state = DRAINING
-        self._tell_state()
+        self.gossip.tell_state()
         self._front.last_answers = True
         await asyncio.sleep(plan.refuse)
         self.refusing = True
@@ -377,7 +355,7 @@
         await asyncio.sleep(plan.last)
         for server in (self._front, *self._servers):
             await server.close()
-        self._table_port.close()
+        self.gossip.close()
         event(_log, "stopped", box=self.mesh.name, given_up=left)
 
     # -- requests
@@ -426,97 +404,6 @@
         self._targets.keep_only(self.instances.addresses())
         self.probes.keep_only({instance.name for instance in self.instances.all()})
 
-    # -- peers
-
-    async def _send_words(self) -> None:
-        while True:
-            self._send_word()
-            self.mesh.note_silent()
-            await asyncio.sleep(WORD_S * (0.9 + 0.2 * self._rng.random()))
-
-    def _send_word(self) -> None:
-        strange = [seed for seed in self._seeds() if seed not in self._known_peers()]
-        if strange:
-            self._words.send([self.mesh.own_word(wants_word=True)], strange)
-        self._tell_all(self.mesh.to_tell())
-
-    def _few_peers(self) -> list[Address]:
-        near = self.mesh.to_tell()
-        return self._rng.sample(near, min(_ASKED_ON_WAKING, len(near)))
-
-    def _known_peers(self) -> set[Address]:
-        return {word.peer for word in self.mesh.others()}
-
-    def _tell_all(self, near: list[Address]) -> None:
-        """Send this box's word to peers near by, and to a few far away with what they lack."""
-        word = self.mesh.own_word()
-        self._words.send([word], near)
-        self._words.send([word, *self.mesh.follower()], self.mesh.to_tell_far())
-
-    def _tell_state(self) -> None:
-        """Tell peers at once that something changed at this box."""
-        self._tell_all(self.mesh.to_tell())
-
-    def _tell_answer(self, changed: bool) -> None:
-        """Tell peers at once what this box, as a reader, had from the store."""
-        if changed:
-            self._tell_all(self.mesh.to_tell_news())
-        elif self.mesh.is_first():
-            # Its place knows by this that nothing changed, and need not read for itself.
-            self._words.send([self.mesh.own_word()], self.mesh.to_tell())
-
-    def _take_word(self, word: BoxWord) -> None:
-        new = not self.mesh.knows(word.name)
-        if not self.mesh.take(word):
-            later = self.mesh.later_start(word)
-            if later is not None:
-                self._words.send([later], [word.peer])
-            return
-        self.crash_news.heard(word)
-        if word.wants_word:
-            self._introduce(word)
-        elif new:
-            # It may know this box as little.
-            self._words.send([self.mesh.own_word()], [word.peer])
-        for table in self.mesh.newer(word):
-            if table not in self._fetching:
-                self._fetching.add(table)
-                self._spawn(self._fetch(table, word.peer))
-
-    def _send_crashes(self, seen: Iterable[SeenCrashes], to: Iterable[Address]) -> None:
-        self._words.send(seen, to)
-
-    def _introduce(self, word: BoxWord) -> None:
-        """Answer a box that knows few others with the words of those that it is to know."""
-        self._words.send([self.mesh.own_word(), *self.mesh.introductions(word.place)], [word.peer])
-
-    async def _fetch(self, table: str, peer: Address) -> None:
-        followed = self.tables[table]
-        version = followed.version if followed.known else 0
-        try:
-            sent = self._loop.time()
-            delta, age_ms = await fetch_table(
-                peer, table, version, era=followed.era, timeout=_FETCH_S
-            )
-        except (ProtocolError, OSError, TimeoutError) as error:
-            event(_log, "fetch-failed", table=table, peer=peer, detail=repr(error))
-            return
-        finally:
-            self._fetching.discard(table)
-        if age_ms >= 0 and followed.take(delta, at=sent - age_ms / 1000):
-            event(_log, "table-fetched", table=table, peer=peer, version=delta.version)
-            self._words.send([self.mesh.own_word()], self.mesh.to_tell_news())
-            for follower in self.followers:
-                follower.look_again()
-
-    def _tell_table(self, table: str, version: int, era: int) -> tuple[TableDelta, int]:
-        followed = self.tables[table]
-        age = self.mesh.age(followed)
-        delta = followed.since(version, era)
-        if followed is self._settings_rows:
-            delta = self.routes.told(delta)
-        return delta, -1 if not followed.known else int(age * 1000)
-
     # -- metrics
 
     def _gauges(self) -> dict[str, float]:
@@ -533,7 +420,7 @@
             "settings_version": float(self._version()),
             "boxes_live": float(len(self.mesh.live()) + 1),
             "in_flight": float(self.forwarder.in_flight),
-            "word_bytes_total": float(self._words.sent_bytes),
+            "word_bytes_total": float(self.gossip.sent_bytes),
             "log_lines_dropped_total": float(self._dropped_lines()),
         }
         for name, table in self.tables.items():
