A signal that asks a stand-in or the daemon to end takes no lock in its handler

A stand-in of the platform, left by a test that had been broken off, lived on for 43 minutes after a SIGTERM, and a second one did not end it. Its handler set an event; where the signal came while the main thread was about to wait for that event and held its lock, the handler waited for ever.

The interpreter now writes such signals to a pipe, and what is to be done is done by a thread that reads it. The daemon started a thread in its handler, which takes a lock of the interpreter that the interrupted step may hold: the same, by reading.

--- a/dunlinnotch/daemon/__main__.py
+++ b/dunlinnotch/daemon/__main__.py
@@ -4,12 +4,11 @@
 
 import argparse
 import gc
-import signal
 import sys
-import threading
 from pathlib import Path
 
 from dunlinnotch import _logs
+from dunlinnotch._signals import EndSignals
 from dunlinnotch.config import read_config
 from dunlinnotch.daemon.box import Box
 from dunlinnotch.errors import ConfigError
@@ -30,12 +29,7 @@
         return EXIT_CONFIG
     _logs.configure(level=config.logs.level, decisions_per_s=config.logs.decisions_per_s)
     box = Box(config)
-
-    def stop(*_: object) -> None:
-        threading.Thread(target=box.stop, daemon=True).start()
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    EndSignals().each(box.stop)
     gc.collect()
     gc.freeze()
     box.run()
--- a/dunlinnotch/standins/common.py
+++ b/dunlinnotch/standins/common.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import signal
-import threading
 from typing import TYPE_CHECKING
 
 from dunlinnotch import _codec
 from dunlinnotch._addresses import split_address
+from dunlinnotch._signals import EndSignals
 from dunlinnotch.errors import DunlinnotchError
 from dunlinnotch.state.heads import Header
 from dunlinnotch.transport.server import HeadRefusal, HttpServer
@@ -57,7 +56,4 @@
 
 def run_until_signal() -> None:
     """Wait for the signal that ends a stand-in."""
-    stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    signal.signal(signal.SIGINT, lambda *_: stopped.set())
-    stopped.wait()
+    EndSignals().wait()
