Lab: a box that is asked to stop must say in time that it is not ready

Readiness is asked from the moment of the signal on; a box still ready after 4 s is a finding, but for one that was suspended. Also tests of the stricter check of settings.

--- a/dunlinnotch/lab/referee/common.py
+++ b/dunlinnotch/lab/referee/common.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass
 from enum import StrEnum
@@ -49,6 +50,8 @@
     SETTINGS = "settings-in-force"
     #: A planned stop cuts off no request.
     STOP = "planned-stop"
+    #: A box that is asked to stop says in time that it is not ready.
+    NOT_READY = "not-ready"
     #: Nothing is held beyond its time.
     IN_TIME = "in-time"
     #: A request under which three targets ended ends no more than three others.
@@ -76,6 +79,7 @@
     {
         Promise.DRAIN,
         Promise.SETTINGS,
+        Promise.NOT_READY,
         Promise.IN_TIME,
         Promise.BARRED,
         Promise.REST,
@@ -109,6 +113,23 @@
         return self.start <= end and start <= self.end
 
 
+@dataclass(slots=True)
+class BoxStop:
+    """A box that was asked to stop, in monotonic seconds.
+
+    Parameters
+    ----------
+    box : str
+    asked : float
+    not_ready : float
+        When it first said that it is not ready, or was not there to be asked.
+    """
+
+    box: str
+    asked: Seconds
+    not_ready: Seconds = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Evidence:
     """What was seen in a day.
@@ -123,6 +144,7 @@
         Attempts of a request that ends the targets that run it; nobody misses them.
     left : sequence of AttemptRecord
         Attempts of requests of long work whose callers left amid it.
+    stops : sequence of BoxStop
     """
 
     day: Day
@@ -134,6 +156,7 @@
     moves: dict[str, list[tuple[Seconds, str]]]
     deadly: Sequence[AttemptRecord] = ()
     left: Sequence[AttemptRecord] = ()
+    stops: Sequence[BoxStop] = ()
 
 
 class Seen:
--- a/dunlinnotch/lab/referee/stops.py
+++ b/dunlinnotch/lab/referee/stops.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from dunlinnotch.lab.referee.common import Finding, Promise
+from dunlinnotch.lab.day import TroubleKind
+from dunlinnotch.lab.referee.common import SLACK_S, Finding, Promise
 from dunlinnotch.standins.users.caller import AttemptOutcome
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
 
 #: A request that was cut later than so many seconds after it was sent had been read.
 _READ_S = 0.2
+#: A box that is asked to stop says so within this, in seconds.
+_NOT_READY_S = 4.0
 #: Share that is to be served once all troubles are over.
 _RECOVERED = 0.9
 #: Requests in the time after the troubles that make that share worth a word.
@@ -26,9 +29,20 @@
     """Yield what planned stops cut off, and whether callers were served again."""
     for attempt in seen.evidence.attempts:
         yield from _stop(seen, attempt)
+    yield from _not_ready(seen)
     yield from _recovery(seen)
 
 
+def _not_ready(seen: Seen) -> Iterator[Finding]:
+    """Check that boxes asked to stop are soon taken out of use."""
+    for stop in seen.evidence.stops:
+        limit = stop.asked + _NOT_READY_S + SLACK_S
+        troubled = seen.troubled({TroubleKind.BOX_FREEZE}, stop.asked, limit)
+        if stop.not_ready > limit and seen.evidence.ended > limit and not troubled:
+            detail = f"ready {_NOT_READY_S:g} s after it was asked to stop"
+            yield Finding(Promise.NOT_READY, stop.box, detail)
+
+
 def _stop(seen: Seen, attempt: AttemptRecord) -> Iterator[Finding]:
     if attempt.outcome is not AttemptOutcome.CUT:
         return
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -149,6 +149,7 @@
             moves=fleet.moved_at,
             deadly=troubles.deadly_attempts,
             left=troubles.left_attempts,
+            stops=troubles.stops,
         )
         return summarise(
             evidence,
--- a/dunlinnotch/lab/troubles.py
+++ b/dunlinnotch/lab/troubles.py
@@ -11,7 +11,7 @@
 from dunlinnotch.lab.day import TroubleKind
 from dunlinnotch.lab.fleet import DEADLY, HOST, LONG, prefix_of
 from dunlinnotch.lab.link import LinkState
-from dunlinnotch.lab.referee import Window
+from dunlinnotch.lab.referee import BoxStop, Window
 from dunlinnotch.standins.users.caller import CallerRequestPlan, CallerStandin
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault
@@ -59,6 +59,8 @@
         Attempts of requests that end the targets that run them.
     left_attempts : list of AttemptRecord
         Attempts whose callers left amid them.
+    stops : list of BoxStop
+        Boxes that were asked to stop.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -69,6 +71,7 @@
         self.load = 1.0
         self.deadly_attempts: list[AttemptRecord] = []
         self.left_attempts: list[AttemptRecord] = []
+        self.stops: list[BoxStop] = []
         self._how: dict[TroubleKind, Callable[[TroublePlan], Coroutine[None, None, None]]] = {
             TroubleKind.BURST: self._burst,
             TroubleKind.TARGET_SLOW: self._slow_targets,
@@ -261,6 +264,10 @@
     async def _stop_boxes(self, plan: TroublePlan) -> None:
         async def stop(box: BoxProcess) -> None:
             box.send_signal(signal.SIGTERM)
+            noted = BoxStop(box.name, self._loop.time())
+            self.stops.append(noted)
+            await box.wait_not_ready()
+            noted.not_ready = self._loop.time()
             await box.ended()
             box.start()
             await box.wait_ready()
--- a/dunlinnotch/standins/users/box.py
+++ b/dunlinnotch/standins/users/box.py
@@ -18,6 +18,7 @@
 
     from dunlinnotch.types import Address, Seconds
 
+_READY = 200
 _READY_S = 20.0
 _LOOK_S = 0.02
 _CALL_S = 5.0
@@ -112,12 +113,18 @@
         await until(lambda: process.poll() is not None, f"{self.name} has ended")
         return process.returncode
 
-    async def wait_ready(self, *, status: int = 200) -> None:
+    async def wait_ready(self, *, status: int = _READY) -> None:
         """Wait until the readiness of the box has a status."""
         async with asyncio.timeout(_READY_S):
             while await status_of(self.readiness, "/api/readiness") != status:
                 await asyncio.sleep(_LOOK_S)
 
+    async def wait_not_ready(self) -> None:
+        """Wait until the box is not ready, or not there."""
+        async with asyncio.timeout(_READY_S):
+            while await status_of(self.readiness, "/api/readiness") == _READY:
+                await asyncio.sleep(_LOOK_S)
+
     async def figures_text(self) -> str:
         """Return what the metrics address tells; empty if nothing."""
         try:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -35,6 +35,7 @@
 from dunlinnotch.coordination.settings.beliefs import RoutesInForce, TargetsListed
 from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.coordination.settings.gate import WorkGate
+from dunlinnotch.daemon.entry import EntryBox
 from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.protocol.answers import OnceKey, parse_once_key
 from dunlinnotch.protocol.attempt import Broken
@@ -206,6 +207,10 @@
     return None
 
 
+def _ready_while_stopping(self):
+    return not self.wake.catching_up and self.mesh.state != "starting"
+
+
 def _any_version(self, data, row_version):
     self.table = self._parse(data)
     self._on_change(self.table)
@@ -414,6 +419,13 @@
     Mutant(
         "hold to the number of a start", Mesh, "_outgrow", _never_renumber, "tests/test_mesh.py"
     ),
+    Mutant(
+        "say ready while stopping",
+        EntryBox,
+        "ready",
+        property(_ready_while_stopping),
+        ENTRY,
+    ),
     Mutant("all follow what nobody can read", Mesh, "is_first", _all_are_first, LINKS),
     Mutant("retry a loan after it was sent", Router, "_may_retry", _retry_anything),
     Mutant("say not run of a broken attempt", Router, "_not_answered", _say_not_run),
--- a/tests/test_lab_referee.py
+++ b/tests/test_lab_referee.py
@@ -8,7 +8,7 @@
 
 from dunlinnotch.lab.day import Bounds, Day, KindPlan, ServicePlan, TroubleKind
 from dunlinnotch.lab.fleet import Target
-from dunlinnotch.lab.referee import Evidence, Promise, Window
+from dunlinnotch.lab.referee import BoxStop, Evidence, Promise, Window
 from dunlinnotch.lab.referee import judge as judge_day
 from dunlinnotch.standins.users.caller import AttemptOutcome, AttemptRecord
 from dunlinnotch.standins.users.worker import Arrival, Ran
@@ -57,8 +57,9 @@
     return record
 
 
-def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=(), left=()):
-    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves or {}, deadly, left)
+def judge(attempts, targets, *, windows=(), moves=None, ended=30.0, deadly=(), left=(), stops=()):
+    moves = moves or {}
+    evidence = Evidence(DAY, 0.0, ended, attempts, targets, windows, moves, deadly, left, stops)
     return [finding.promise for finding in judge_day(evidence)]
 
 
@@ -351,3 +352,28 @@
 )
 def test_a_proper_request_that_is_turned_down(status, found):
     assert judge([attempt("a1", status=status)], []) == found
+
+
+@pytest.mark.parametrize(
+    ("not_ready", "windows", "found"),
+    [
+        (13.9, (), []),
+        (14.5, (), [Promise.NOT_READY]),
+        (float("inf"), (), [Promise.NOT_READY]),
+        (14.5, (Window(TroubleKind.BOX_FREEZE, 12.0, 13.0),), []),
+        (14.5, (Window(TroubleKind.STORE_DOWN, 12.0, 13.0),), [Promise.NOT_READY]),
+    ],
+)
+def test_a_box_that_is_asked_to_stop_is_not_ready_in_time(not_ready, windows, found):
+    assert judge([], [], windows=windows, stops=[BoxStop("box-1", 10.0, not_ready)]) == found
+
+
+def test_a_day_that_ends_before_a_stopping_box_must_say_so_judges_nothing():
+    assert judge([], [], ended=12.0, stops=[BoxStop("box-1", 10.0)]) == []
+
+
+def test_a_request_run_by_older_settings_is_found_though_they_come_back_later():
+    one = target()
+    run_at(one, "a1", arrived=15.0)
+    moves = {"lookup": [(0.0, "records"), (10.0, "uploads"), (20.0, "records")]}
+    assert judge([attempt("a1", sent=15.0)], [one], moves=moves) == [Promise.SETTINGS]
