A store that tells an earlier era is asked again after a pause, not without end

Where a store's answers tell an era below the one known, nothing they hold may be taken in; the reader took that for a good answer and read again at once. It is a failed call now. Test: never failed before.

--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -143,13 +143,14 @@
             self._was_away = True
             return False
         self._was_away = False
-        if delta.version < known[1] and delta.era in (None, known[0]):
+        if delta.era is None and delta.version < known[1]:
             self._note_older(delta)
-            if delta.era is not None:
-                # Asked again at once, it would tell the same: a storm of readings.
-                return False
             # Versions rise within an era, so this is a new one, told or not.
             delta = replace(delta, era=known[0] + 1)
+        elif delta.era is not None and (delta.era, delta.version) < known:
+            # Asked again at once, it would tell the same: a storm of readings.
+            self._note_older(delta)
+            return False
         at = max(sent, self._loop.time() - _ANSWER_AGE_S)
         self._on_answer(table.take(delta, at=at))
         return True
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -132,6 +132,25 @@
     follow(test)
 
 
+def test_a_store_that_tells_an_earlier_era_is_asked_again_after_a_pause_only():
+    """It can't be followed, but it must not be read without end either."""
+
+    async def test(source, table, follower, news):
+        table.take(replace(source.whole(), version=9, era=3), at=0.0)
+        source.whole = lambda: TableDelta("t", 20, True, (TableRow("k", 20, b"w"),), era=1)
+
+        async def gone(table, after, wait):
+            return HistoryGone()
+
+        source.changes = gone
+        await until(lambda: source.reads >= 5)
+        assert follower.failing
+        assert follower._failures >= 3
+        assert (table.era, table.version) == (3, 9)
+
+    follow(test)
+
+
 def test_a_call_that_hangs_longer_than_it_may_is_given_up(monkeypatch, caplog):
     monkeypatch.setattr(following, "WAIT_LEAD_S", 0.02)
     monkeypatch.setattr(following, "_SLACK_S", 0.02)
