--- a/tests/test_crash_news.py
+++ b/tests/test_crash_news.py
@@ -226,15 +226,21 @@
     asyncio.run(test())
 
 
+async def with_bar_kept(store):
+    """Return a box without peers that has had a bar kept in the store."""
+    news, log, _ = alone(store)
+    await work(news, lambda: news.known)
+    news.tell([log.note_ended("worst", TARGETS)])
+    await work(news, lambda: store.rows)
+    return news
+
+
 def test_a_bar_that_a_store_back_from_a_copy_lost_is_kept_again():
     """It would be unknown to boxes that start anew after all were lost."""
 
     async def test():
         store = Rows()
-        news, log, _ = alone(store)
-        await work(news, lambda: news.known)
-        news.tell([log.note_ended("worst", TARGETS)])
-        await work(news, lambda: store.rows)
+        news = await with_bar_kept(store)
         store.rows.clear()
         store.era += 1
         await work(news, lambda: store.rows)
@@ -246,10 +252,7 @@
 def test_a_bar_that_is_still_kept_after_the_store_came_back_costs_one_reading():
     async def test():
         store = Rows()
-        news, log, _ = alone(store)
-        await work(news, lambda: news.known)
-        news.tell([log.note_ended("worst", TARGETS)])
-        await work(news, lambda: store.rows)
+        news = await with_bar_kept(store)
         version, calls = store.version, store.calls
         store.era += 1
         await work(news, lambda: store.calls > calls and not news._to_keep)
