--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -102,6 +102,13 @@
     window : float
         Length of the window, in seconds.
     clock : callable
+
+    Attributes
+    ----------
+    boxes : int
+        Number of boxes that share the slack.
+    spent, denied : int
+        Retries spent, and retries refused because the share was spent.
     """
 
     def __init__(self, *, ratio: float, slack: float, window: Seconds, clock: Clock) -> None:
@@ -111,6 +118,17 @@
         self.boxes = 1
         self._clock = clock
         self._intervals: deque[tuple[int, int, int]] = deque()
+        self.spent = 0
+        self.denied = 0
+
+    @property
+    def left(self) -> float:
+        """Retries that this box may make now."""
+        self._drop_expired()
+        requests = sum(interval[1] for interval in self._intervals)
+        retries = sum(interval[2] for interval in self._intervals)
+        allowed = _USED_SHARE * (self.ratio * requests + self.slack / max(1, self.boxes))
+        return allowed - retries
 
     def record_request(self) -> None:
         """Record a request for the service."""
@@ -118,13 +136,11 @@
 
     def try_spend(self) -> bool:
         """Spend one retry; return False if the share is spent."""
-        self._drop_expired()
-        requests = sum(interval[1] for interval in self._intervals)
-        retries = sum(interval[2] for interval in self._intervals)
-        allowed = _USED_SHARE * (self.ratio * requests + self.slack / max(1, self.boxes))
-        if retries + 1 > allowed:
+        if self.left < 1.0:
+            self.denied += 1
             return False
         self._add(0, 1)
+        self.spent += 1
         return True
 
     def _current_interval(self) -> int:
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -167,6 +167,16 @@
         for share in self._retry_shares.values():
             share.boxes = boxes
 
+    @property
+    def retries_spent(self) -> int:
+        """Number of retries made so far."""
+        return sum(share.spent for share in self._retry_shares.values())
+
+    @property
+    def retries_denied(self) -> int:
+        """Number of retries not made because the budget was spent."""
+        return sum(share.denied for share in self._retry_shares.values())
+
     def keep_only(self, kinds: set[str]) -> None:
         """Drop the learnt times of kinds other than ``kinds``."""
         self._first_attempts.keep_only(kinds)
@@ -358,7 +368,8 @@
         now = self._loop.time()
         request = run.request
         remaining = min(request.deadline, request.arrived + kind.timeout) - now
-        attempt = Attempt(selection, began=now)
+        retries_left = self.retry_share(run.service).left
+        attempt = Attempt(selection, began=now, retries_left=retries_left)
         run.attempts.append(attempt)
         run.tried_instances.add(instance.name)
         run.sends += 1
--- a/dunlinnotch/coordination/requests/run.py
+++ b/dunlinnotch/coordination/requests/run.py
@@ -64,6 +64,8 @@
         HTTP status of an answer that was not relayed to the caller; 0 if there was none.
     target_status : TargetStatus
         Load and back-off that the target reported in its answer.
+    retries_left : float
+        Retries of the service that this box had left when it sent the attempt.
     """
 
     selection: Selection
@@ -72,6 +74,7 @@
     result: str = ""
     status: int = 0
     target_status: TargetStatus = TargetStatus()
+    retries_left: float = 0.0
 
     def as_fields(self, arrived: Seconds) -> dict[str, object]:
         """Return the fields to log.
@@ -93,6 +96,7 @@
             "end": self.result,
             "status": self.status,
             "rest_s": self.target_status.backoff,
+            "retries_left": round(self.retries_left, 1),
         }
 
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -332,11 +332,16 @@
                 self.mesh.reading = reading
                 self.gossip.announce_state()
             self.mesh.in_flight = self.forwarder.in_flight
-            boxes = max(self.mesh.max_boxes, _MIN_BOXES)
-            self.probes.boxes = boxes
-            self.forwarder.set_boxes(boxes)
+            self._share_limits(max(self.mesh.max_boxes, _MIN_BOXES))
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
+    def _share_limits(self, boxes: int) -> None:
+        """Divide the limits that hold for all boxes together by a number of boxes."""
+        if boxes != self.probes.boxes:
+            event(_log, "limits-shared", boxes=boxes, before=self.probes.boxes)
+        self.probes.boxes = boxes
+        self.forwarder.set_boxes(boxes)
+
     def _can_serve(self) -> bool:
         tables_ready = self.routes.table is not None and all(t.loaded for t in self.tables.values())
         return tables_ready and self.crash_gossip.may_serve
@@ -419,6 +424,8 @@
         gauges = {
             "probes_total": float(self.probes.spent),
             "probes_denied_total": float(self.probes.denied),
+            "retries_total": float(self.forwarder.retries_spent),
+            "retries_denied_total": float(self.forwarder.retries_denied),
             "connections_opened_total": float(self._target_client.opened),
             "entries_unreadable_total": float(
                 self._target_listing.unreadable_count + self.routes.unreadable_count
@@ -430,6 +437,7 @@
             "store_failures_total": float(self._adapter.store_failures()),
             "settings_version": float(self._settings_version()),
             "boxes_live": float(len(self.mesh.live()) + 1),
+            "boxes_sharing": float(self.probes.boxes),
             "in_flight": float(self.forwarder.in_flight),
             "word_bytes_total": float(self.gossip.sent_bytes),
             "log_lines_dropped_total": float(self._dropped_lines()),
