Bound the retries of all boxes by what requests earn, with nothing saved at a start

Cause: each box kept a window of its own of 10 s and allowed itself its part of the slack and a share of the requests in it. A box that starts again forgot what it had spent, and had its whole part anew. The same class without any start: a window that looks back lets one box spend for requests before a period and, when callers then move, another box spend for those in it.

Change: one RetryBudget for both daemons. A retry spends what requests to this process have earned; nothing is saved at a start, and at most one retry for each box and service is kept, as many as the slack holds whatever a box takes for the number of boxes. No clock, no window. RetryShare is gone, and with it budget-window.

--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import math
-from collections import deque
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -15,8 +13,6 @@
 
 #: Share of a budget that is used; the rest covers boxes that restart with full budgets.
 _USED_SHARE = 0.85
-#: Length of the intervals in which requests and retries are counted, in seconds.
-_COUNT_INTERVAL_S = 0.5
 
 
 class ProbeShare:
@@ -85,77 +81,3 @@
         """Drop the buckets of all other targets."""
         for target in [t for t in self._buckets if t not in targets]:
             del self._buckets[target]
-
-
-class RetryShare:
-    """One box's share of the retries that one service may receive.
-
-    Over each window, the retries of all boxes stay within ``ratio`` times the requests for
-    the service, plus ``slack``.
-
-    Parameters
-    ----------
-    ratio : float
-        Retries allowed for each request.
-    slack : float
-        Retries allowed in addition, in each window, from all boxes together.
-    window : float
-        Length of the window, in seconds.
-    clock : callable
-
-    Attributes
-    ----------
-    boxes : int
-        Number of boxes that share the slack.
-    spent, denied : int
-        Retries spent, and retries refused because the share was spent.
-    """
-
-    def __init__(self, *, ratio: float, slack: float, window: Seconds, clock: Clock) -> None:
-        self.ratio = ratio
-        self.slack = slack
-        self.window = window
-        self.boxes = 1
-        self._clock = clock
-        self._intervals: deque[tuple[int, int, int]] = deque()
-        self.spent = 0
-        self.denied = 0
-
-    @property
-    def left(self) -> float:
-        """Retries that this box may make now."""
-        self._drop_expired()
-        requests = sum(interval[1] for interval in self._intervals)
-        retries = sum(interval[2] for interval in self._intervals)
-        allowed = _USED_SHARE * (self.ratio * requests + self.slack / max(1, self.boxes))
-        return allowed - retries
-
-    def record_request(self) -> None:
-        """Record a request for the service."""
-        self._add(1, 0)
-
-    def try_spend(self) -> bool:
-        """Spend one retry; return False if the share is spent."""
-        if self.left < 1.0:
-            self.denied += 1
-            return False
-        self._add(0, 1)
-        self.spent += 1
-        return True
-
-    def _current_interval(self) -> int:
-        return int(self._clock() / _COUNT_INTERVAL_S)
-
-    def _add(self, requests: int, retries: int) -> None:
-        now = self._current_interval()
-        if self._intervals and self._intervals[-1][0] == now:
-            _, earlier_requests, earlier_retries = self._intervals.pop()
-            requests += earlier_requests
-            retries += earlier_retries
-        self._intervals.append((now, requests, retries))
-        self._drop_expired()
-
-    def _drop_expired(self) -> None:
-        oldest = self._current_interval() - math.ceil(self.window / _COUNT_INTERVAL_S)
-        while self._intervals and self._intervals[0][0] < oldest:
-            self._intervals.popleft()
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dunlinnotch._logs import event
+from dunlinnotch.coordination.budgets.retries import RetryBudget
 from dunlinnotch.coordination.choosing.fresh_reports import MAX_GOOD_RATIO
 from dunlinnotch.coordination.requests.bodies import BufferedBody
 from dunlinnotch.coordination.requests.crash_guard import TrackedRequest
@@ -28,7 +29,6 @@
     import random
     from collections.abc import AsyncIterator, Callable
 
-    from dunlinnotch.coordination.budgets.shares import RetryShare
     from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
     from dunlinnotch.coordination.choosing.latency_model import LatencyModel
     from dunlinnotch.coordination.choosing.selector import TargetSelector
@@ -86,8 +86,10 @@
     chooser : FreshReportChooser
     latency_model : LatencyModel
     selector : TargetSelector
-    make_retry_share : callable
-        Creates this box's share of the retry budget of a service.
+    retry_ratio : float
+        Retries that each request of a service allows.
+    saved_retries : float
+        Maximum number of unspent retries that are kept for each service.
     guard : CrashGuard
     targets : TargetPort
     observer : ForwardObserver
@@ -104,7 +106,8 @@
         chooser: FreshReportChooser,
         latency_model: LatencyModel,
         selector: TargetSelector,
-        make_retry_share: Callable[[], RetryShare],
+        retry_ratio: float,
+        saved_retries: float,
         guard: CrashGuard,
         targets: TargetPort,
         observer: ForwardObserver,
@@ -117,13 +120,14 @@
         self._chooser = chooser
         self._latency_model = latency_model
         self._selector = selector
-        self._make_retry_share = make_retry_share
+        self._retry_ratio = retry_ratio
+        self._saved_retries = saved_retries
         self._guard = guard
         self._targets = targets
         self._observer = observer
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._retry_shares: dict[str, RetryShare] = {}
+        self._retry_budgets: dict[str, RetryBudget] = {}
         self._split_points: dict[str, float] = {}
         self._first_attempts = FirstAttempts()
         self._running: set[Run] = set()
@@ -140,42 +144,37 @@
             if run.timeout_scope is not None:
                 run.timeout_scope.reschedule(self._loop.time())
 
-    def retry_share(self, service: str) -> RetryShare:
-        """Return this box's share of the retry budget of a service."""
-        share = self._retry_shares.get(service)
-        if share is None:
-            share = self._retry_shares[service] = self._make_retry_share()
-        return share
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return this box's budget for retries at a service."""
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._retry_ratio, max_saved=self._saved_retries)
+            self._retry_budgets[service] = budget
+        return budget
 
-    def configure_retry_shares(self, *, ratio: float, slack: float, window: Seconds) -> None:
-        """Change the retry budgets; retries already made still count.
+    def configure_retries(self, *, ratio: float, saved: float) -> None:
+        """Change the retry budgets of all services.
 
         Parameters
         ----------
         ratio : float
-            Retries allowed for each request.
-        slack : float
-            Retries allowed in addition, in each window.
-        window : float
-            Length of the window in seconds.
+            Retries that each request allows.
+        saved : float
+            Maximum number of unspent retries that are kept.
         """
-        for share in self._retry_shares.values():
-            share.ratio, share.slack, share.window = ratio, slack, window
-
-    def set_boxes(self, boxes: int) -> None:
-        """Set the number of boxes that share the retry budgets."""
-        for share in self._retry_shares.values():
-            share.boxes = boxes
+        self._retry_ratio, self._saved_retries = ratio, saved
+        for budget in self._retry_budgets.values():
+            budget.share, budget.max_saved = ratio, saved
 
     @property
     def retries_spent(self) -> int:
         """Number of retries made so far."""
-        return sum(share.spent for share in self._retry_shares.values())
+        return sum(budget.spent for budget in self._retry_budgets.values())
 
     @property
     def retries_denied(self) -> int:
         """Number of retries not made because the budget was spent."""
-        return sum(share.denied for share in self._retry_shares.values())
+        return sum(budget.denied for budget in self._retry_budgets.values())
 
     def keep_only(self, kinds: set[str]) -> None:
         """Drop the learnt times of kinds other than ``kinds``."""
@@ -309,14 +308,14 @@
             service = run.service = kind.service_at(run.split_point)
             if not run.counted_in_budget:
                 run.counted_in_budget = True
-                self.retry_share(service).record_request()
+                self.retry_budget(service).record_first_attempt()
             selection = await self._choose(run, kind, service)
             if selection is None:
                 return last_failure or self._no_target_refusal(run, service)
             if not self._selection_holds(run, selection):
                 self._selector.release(selection)
                 continue
-            if run.sends and not self.retry_share(service).try_spend():
+            if run.sends and not self.retry_budget(service).try_spend():
                 self._selector.release(selection)
                 return last_failure or self._no_target_refusal(run, service)
             end = await self._attempt(run, kind, selection)
@@ -368,7 +367,7 @@
         now = self._loop.time()
         request = run.request
         remaining = min(request.deadline, request.arrived + kind.timeout) - now
-        retries_left = self.retry_share(run.service).left
+        retries_left = self.retry_budget(run.service).left
         attempt = Attempt(selection, began=now, retries_left=retries_left)
         run.attempts.append(attempt)
         run.tried_instances.add(instance.name)
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -12,7 +12,8 @@
 
 from dunlinnotch._clocks import elapsed
 from dunlinnotch._logs import event
-from dunlinnotch.coordination.budgets.shares import ProbeShare, RetryShare
+from dunlinnotch.coordination.budgets.retries import saved_retries
+from dunlinnotch.coordination.budgets.shares import ProbeShare
 from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
 from dunlinnotch.coordination.choosing.latency_model import LatencyModel
 from dunlinnotch.coordination.choosing.selector import TargetSelector
@@ -73,9 +74,8 @@
     retry_ratio : float
         Retries allowed per request of a service.
     retry_slack : float
-        Retries allowed beyond that ratio.
-    retry_window : float
-        Seconds over which requests and retries are counted.
+        Retries allowed beyond that ratio in any period, from all boxes together; at least
+        one for each box.
     """
 
     name: str
@@ -87,7 +87,6 @@
     probes_per_s: float
     retry_ratio: float
     retry_slack: float
-    retry_window: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,7 +225,8 @@
             chooser=chooser,
             latency_model=self.latency_model,
             selector=self.selector,
-            make_retry_share=self._make_retry_share,
+            retry_ratio=settings.retry_ratio,
+            saved_retries=saved_retries(settings.retry_slack, _MIN_BOXES),
             guard=self._crash_guard,
             targets=self._target_client,
             observer=self.text_metrics,
@@ -275,11 +275,7 @@
             event(_log, "reload-needs-restart", level=logging.WARNING, fields=changed)
         self._settings = replace(settings, **{n: getattr(self._settings, n) for n in fixed})
         self.probes.max_per_s = settings.probes_per_s
-        self.forwarder.configure_retry_shares(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window=settings.retry_window,
-        )
+        self._share_limits(self.probes.boxes)
         event(_log, "reloaded", box=self.mesh.name, seeds=list(settings.seeds))
 
     def request_stop(self) -> None:
@@ -340,7 +336,10 @@
         if boxes != self.probes.boxes:
             event(_log, "limits-shared", boxes=boxes, before=self.probes.boxes)
         self.probes.boxes = boxes
-        self.forwarder.set_boxes(boxes)
+        settings = self._settings
+        self.forwarder.configure_retries(
+            ratio=settings.retry_ratio, saved=saved_retries(settings.retry_slack, boxes)
+        )
 
     def _can_serve(self) -> bool:
         tables_ready = self.routes.table is not None and all(t.loaded for t in self.tables.values())
@@ -387,17 +386,6 @@
             return
         await self.forwarder.serve(request, exchange.body(), exchange)
 
-    def _make_retry_share(self) -> RetryShare:
-        settings = self._settings
-        share = RetryShare(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window=settings.retry_window,
-            clock=self._loop.time,
-        )
-        share.boxes = max(self.mesh.max_boxes, _MIN_BOXES)
-        return share
-
     def _probe_path(self, service: str) -> str:
         table = self.routes.table
         info = None if table is None else table.services.get(service)
--- a/dunlinnotch/platform/settings_file.py
+++ b/dunlinnotch/platform/settings_file.py
@@ -176,7 +176,6 @@
         probes_per_s=file.number("terms.bounds.probes-per-s", 60.0),
         retry_ratio=file.number("terms.bounds.budget-ratio", 0.2),
         retry_slack=file.number("terms.bounds.budget-slack", 64.0),
-        retry_window=file.time("terms.bounds.budget-window", 10.0),
     )
 
 
--- a/dunlinnotch/standins/users/box.py
+++ b/dunlinnotch/standins/users/box.py
@@ -6,7 +6,7 @@
 import os
 import subprocess
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.transport.stream.fetch import Fetcher
@@ -39,12 +39,16 @@
 
     Attributes
     ----------
+    module : str
+        Module that the process runs; the same for all boxes.
     process : subprocess.Popen or None
         None until the box has been started.
     caller_address, readiness_address, directory_address, metrics_address : str
         Addresses at which the box listens, as ``host:port``.
     """
 
+    module: ClassVar = "dunlinnotch.platform"
+
     def __init__(self, name: str, zone: str, ip: str, log: Path) -> None:
         self.name = name
         self.zone = zone
@@ -92,7 +96,7 @@
         environment = {**os.environ, "DUNLINNOTCH_NODE_FILE": str(self.settings_file)}
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "dunlinnotch.platform"],
+                [sys.executable, "-m", self.module],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -195,6 +195,24 @@
     run(test)
 
 
+def test_box_that_starts_again_retries_only_what_its_requests_have_earned():
+    async def test():
+        async with stream_world(boxes=0, workers=0, saved_retries=False) as world:
+            for _ in range(3):
+                await world.add_worker(WorkerSettings(rejects_next=lambda: True))
+            for _ in range(3):
+                box = await world.add_box()
+                await until(lambda box=box: len(box.instances.for_service("loans")) == 3)
+                before = sum(len(worker.arrivals) for worker in world.workers)
+                for number in range(4):
+                    await call(box, "/read/", f"{box.mesh.name}-{number}")
+                # Four requests earn 0.8 of a retry.
+                assert sum(len(worker.arrivals) for worker in world.workers) - before <= 4
+                world.tasks.pop().cancel()
+
+    run(test)
+
+
 def test_request_does_not_run_at_a_target_that_took_over_an_address():
     async def test():
         async with stream_world() as world:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -143,6 +143,10 @@
 
 
 def test_pool_retries_within_the_budget_and_never_at_the_same_target(pool):
+    for _ in range(30):  # earns three retries
+        call = ticket()
+        pool.enter(call)
+        pool.finish(call.grant, failed=False)
     first = ticket()
     pool.enter(first)
     tried = [first.grant.choice.target.address]
