Let starts of boxes add nothing to the probes of a target

A box that starts had a whole second's part of the probes of each target at once, counted for six boxes until it heard of more: 17 boxes killed every 2 s may send 17 x 8.5 probes each time, 72 a second of 60.

Cause: the same as of the retries: what an earlier life has spent is not known. Change: a bucket begins with a random part of one probe, so the mean number of probes within any time from a start is the rate times that time, also at rates below one a second. A box that has heard of no other although its settings name some divides by the retry slack, which holds one retry for each box and so bounds their number, instead of by six.

--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -6,13 +6,43 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    import random
+
     from dunlinnotch.types import Clock, Seconds
 
-#: Share of a budget that is used; the rest covers boxes that restart with full budgets.
+#: Share of a budget that is used; the rest covers boxes that have just been added.
 _USED_SHARE = 0.85
+#: Lowest number of boxes assumed: boxes that start together hear of one another in turn.
+MIN_BOXES = 6
+
+
+def count_sharing_boxes(known: int, *, has_seeds: bool, retry_slack: float) -> int:
+    """Return the number of boxes by which limits of all boxes together are divided.
+
+    Parameters
+    ----------
+    known : int
+        Largest number of boxes that this box has heard of since it started.
+    has_seeds : bool
+        Whether the settings name other boxes.
+    retry_slack : float
+        Retries that all boxes together may make beyond their share; it holds at least one
+        for each box, so there are no more boxes than that.
+
+    Returns
+    -------
+    int
+        ``known``, but at least ``MIN_BOXES``.  A box that has heard of no other although
+        there are some assumes the largest number that the settings allow, so that it never
+        takes more than its part.
+    """
+    if known == 1 and has_seeds:
+        return max(MIN_BOXES, math.ceil(retry_slack))
+    return max(MIN_BOXES, known)
 
 
 class ProbeShare:
@@ -23,6 +53,7 @@
     max_per_s : float
         Maximum number of probes per second to one target, from all boxes together.
     clock : callable
+    rng : random.Random
 
     Attributes
     ----------
@@ -34,13 +65,19 @@
     Notes
     -----
     One token bucket for each target.  A bucket holds the share of one second, but at least
-    one probe.
+    one probe.  It begins with a random part of one probe, as a process can't know what an
+    earlier one on its box has spent: the mean number of probes sent within some seconds of a
+    start is then the rate times these seconds, even where the rate is less than one a second,
+    so that starts, however many, add nothing to the sum over all boxes.  That sum stays within
+    the budget while no box counts fewer boxes than there are
+    (see :func:`count_sharing_boxes`).
     """
 
-    def __init__(self, max_per_s: float, *, clock: Clock) -> None:
+    def __init__(self, max_per_s: float, *, clock: Clock, rng: random.Random) -> None:
         self.max_per_s = max_per_s
         self.boxes = 1
         self._clock = clock
+        self._rng = rng
         self._buckets: dict[str, tuple[float, Seconds]] = {}
         self.spent = 0
         self.denied = 0
@@ -72,12 +109,16 @@
         now = self._clock()
         rate = self.rate
         max_tokens = max(1.0, rate)
-        tokens, at = self._buckets.get(target, (max_tokens, now))
+        tokens, at = self._buckets.get(target) or (self._rng.random(), now)
         tokens = min(max_tokens, tokens + (now - at) * rate)
         self._buckets[target] = (tokens, now)
         return tokens
 
-    def retain(self, targets: set[str]) -> None:
-        """Drop the buckets of all other targets."""
+    def set_targets(self, targets: set[str]) -> None:
+        """Begin to fill the buckets of new targets, and drop those of all others."""
         for target in [t for t in self._buckets if t not in targets]:
             del self._buckets[target]
+        now = self._clock()
+        for target in targets:
+            if target not in self._buckets:
+                self._buckets[target] = (self._rng.random(), now)
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -13,7 +13,7 @@
 from dunlinnotch._clocks import elapsed
 from dunlinnotch._logs import event
 from dunlinnotch.coordination.budgets.retries import saved_retries
-from dunlinnotch.coordination.budgets.shares import ProbeShare
+from dunlinnotch.coordination.budgets.shares import ProbeShare, count_sharing_boxes
 from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
 from dunlinnotch.coordination.choosing.latency_model import LatencyModel
 from dunlinnotch.coordination.choosing.selector import TargetSelector
@@ -48,9 +48,6 @@
 
 #: Interval between two runs of the periodic maintenance, in seconds.
 _MAINTENANCE_INTERVAL_S = 0.05
-#: Lowest number of boxes assumed when limits per target are divided among the boxes: a box
-#: that has just started does not know the others yet and must not use their shares.
-_MIN_BOXES = 6
 
 _log = logging.getLogger(__name__)
 
@@ -203,7 +200,7 @@
         self._crash_guard = CrashGuard(
             self.crashes, self._target_client, publish=self.crash_gossip.publish
         )
-        self.probes = ProbeShare(settings.probes_per_s, clock=clock)
+        self.probes = ProbeShare(settings.probes_per_s, clock=clock, rng=rng)
         self.latency_model = LatencyModel()
         chooser = FreshReportChooser(
             place=settings.place, latency_model=self.latency_model, rng=rng
@@ -226,7 +223,7 @@
             latency_model=self.latency_model,
             selector=self.selector,
             retry_ratio=settings.retry_ratio,
-            saved_retries=saved_retries(settings.retry_slack, _MIN_BOXES),
+            saved_retries=0.0,
             guard=self._crash_guard,
             targets=self._target_client,
             observer=self.text_metrics,
@@ -253,6 +250,7 @@
             caller=self._settings.caller,
             peer=self._settings.peer,
         )
+        self._share_limits()
         self._spawn(self.gossip.run())
         await self.gossip.sync_with_peers()
         for follower in self.followers:
@@ -275,7 +273,7 @@
             event(_log, "reload-needs-restart", level=logging.WARNING, fields=changed)
         self._settings = replace(settings, **{n: getattr(self._settings, n) for n in fixed})
         self.probes.max_per_s = settings.probes_per_s
-        self._share_limits(self.probes.boxes)
+        self._share_limits()
         event(_log, "reloaded", box=self.mesh.name, seeds=list(settings.seeds))
 
     def request_stop(self) -> None:
@@ -328,11 +326,16 @@
                 self.mesh.reading = reading
                 self.gossip.announce_state()
             self.mesh.in_flight = self.forwarder.in_flight
-            self._share_limits(max(self.mesh.max_boxes, _MIN_BOXES))
+            self._share_limits()
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
-    def _share_limits(self, boxes: int) -> None:
-        """Divide the limits that hold for all boxes together by a number of boxes."""
+    def _share_limits(self) -> None:
+        """Divide the limits that hold for all boxes together by the number of boxes."""
+        boxes = count_sharing_boxes(
+            self.mesh.max_boxes,
+            has_seeds=self.gossip.has_seeds,
+            retry_slack=self._settings.retry_slack,
+        )
         if boxes != self.probes.boxes:
             event(_log, "limits-shared", boxes=boxes, before=self.probes.boxes)
         self.probes.boxes = boxes
@@ -399,14 +402,12 @@
         self.limits.idle_timeout_s = limits.idle_s
         self.forwarder.keep_only({kind.name for kind in table.kinds})
         max_connections = min((s.connections for s in table.services.values()), default=256)
-        self._target_client.set_max_connections(
-            max(4, max_connections // max(self.mesh.max_boxes, _MIN_BOXES))
-        )
+        self._target_client.set_max_connections(max(4, max_connections // self.probes.boxes))
 
     def _apply_target_rows(self, rows: list[TableRow]) -> None:
         self._target_listing.apply(rows)
         self._target_client.close_others(self.instances.addresses())
-        self.probes.retain({instance.name for instance in self.instances.all()})
+        self.probes.set_targets({instance.name for instance in self.instances.all()})
 
     def _gauges(self) -> dict[str, float]:
         gauges = {
--- a/dunlinnotch/daemon/gossip.py
+++ b/dunlinnotch/daemon/gossip.py
@@ -187,6 +187,11 @@
         heartbeats = [self._mesh.own_heartbeat(), *self._mesh.introductions(heartbeat.place)]
         self._gossip_port.send(heartbeats, [heartbeat.peer])
 
+    @property
+    def has_seeds(self) -> bool:
+        """Whether the settings name other boxes."""
+        return bool(self._seeds())
+
     def _seeds(self) -> list[Address]:
         return [seed for seed in self._configured_seeds() if seed != self._mesh.peer]
 
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -36,6 +36,7 @@
 from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.coordination.settings.gate import WorkGate
 from dunlinnotch.coordination.settings.store_tables import ActiveRoutes, TargetListing
+from dunlinnotch.daemon import entry
 from dunlinnotch.daemon.entry import EntryBox
 from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.protocol.answers import IdempotencyKey, parse_idempotency_key
@@ -229,6 +230,14 @@
     self._on_change(self.table)
 
 
+def _fill_buckets(self, targets):
+    self._buckets = {target: (max(1.0, self.rate), self._clock()) for target in targets}
+
+
+def _count_known_boxes(known, **_):
+    return known
+
+
 def _save_all(self):
     self._saved += self.share
 
@@ -441,6 +450,16 @@
         "tests/test_store_tables.py",
     ),
     Mutant("probe without a budget", ProbeShare, "try_spend", _always_spend, SHARES),
+    Mutant(
+        "begin each life with full probe buckets", ProbeShare, "set_targets", _fill_buckets, SHARES
+    ),
+    Mutant(
+        "take the whole of shared limits before others are known",
+        entry,
+        "count_sharing_boxes",
+        _count_known_boxes,
+        ENTRY,
+    ),
     Mutant("retry without a budget", RetryBudget, "try_spend", _always_spend, RETRIES),
     Mutant("begin each life with saved retries", RetryBudget, "__init__", begin_full, RETRIES),
     Mutant("save all unspent retries", RetryBudget, "record_first_attempt", _save_all, RETRIES),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dunlinnotch.coordination.budgets.shares import MIN_BOXES
 from dunlinnotch.coordination.choosing.fresh_reports import MAX_FRESH_AGE_S
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault, WorkerSettings
@@ -213,6 +214,19 @@
     run(test)
 
 
+def test_box_that_has_heard_of_no_other_takes_the_smallest_part_of_shared_limits(caplog):
+    async def test():
+        async with stream_world(boxes=0) as world:
+            alone = await world.add_box(seeds=("127.0.0.1:1",))
+            assert alone.probes.boxes == 640
+            second = await world.add_box(seeds=(alone.mesh.peer,))
+            await until(lambda: {box.probes.boxes for box in (alone, second)} == {MIN_BOXES})
+
+    with caplog.at_level("INFO"):
+        run(test)
+    assert logged_events(caplog, "limits-shared")[0] == {"boxes": 640, "before": 1}
+
+
 def test_request_does_not_run_at_a_target_that_took_over_an_address():
     async def test():
         async with stream_world() as world:
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -44,7 +44,10 @@
             listed = ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0)
             instances.apply(listed, 0.0)
         targets = Targets(latency_ratios or {}, running)
-        probes = ProbeShare(probes_per_s, clock=lambda: 100.0)
+        now = 0.0
+        probes = ProbeShare(probes_per_s, clock=lambda: now, rng=random.Random(1))
+        probes.set_targets({name for _, name in names})
+        now = 100.0  # all buckets are full
         rng = random.Random(1)
         selector = TargetSelector(
             instances=instances,
@@ -209,12 +212,14 @@
             instances.apply(ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0), 0.0)
         targets = ManualTargets()
         loop = asyncio.get_running_loop()
+        probes = ProbeShare(1e6, clock=loop.time, rng=random.Random(1))
+        probes.set_targets({name for _, name in names})
         selector = TargetSelector(
             instances=instances,
             chooser=FreshReportChooser(
                 place="hall-a", latency_model=LatencyModel(), rng=random.Random(1)
             ),
-            probes=ProbeShare(60.0, clock=loop.time),
+            probes=probes,
             probe_path=lambda service: "/health",
             targets=targets,
             rng=random.Random(1),
