Divide connections to targets anew whenever the number of boxes known changes

What could be seen: a box divided the connections that a target accepts by the boxes that it knew when the settings last changed. After a start with the settings from a peer that was six or more too few, until the next change; 17 boxes with 260 / 6 each may hold 731 of 260. A floor of four connections a box broke the sum from 65 boxes on.

Change: the part is computed with the others whenever the count or the settings change, without a floor above one, and a connection beyond a lowered maximum is closed when it is released.

Test: fails before (the maximum stays 43 after 26 boxes are known)."

--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -48,6 +48,8 @@
 
 #: Interval between two runs of the periodic maintenance, in seconds.
 _MAINTENANCE_INTERVAL_S = 0.05
+#: Connections that a target accepts from all boxes while no settings name a number.
+_DEFAULT_CONNECTIONS = 256
 
 _log = logging.getLogger(__name__)
 
@@ -232,6 +234,7 @@
         self.limits = ServerLimits()
         self._caller_server = StreamServer(self._serve, limits=self.limits)
         self._servers: list[StreamServer] = []
+        self._max_connections = _DEFAULT_CONNECTIONS
         self._tasks: set[asyncio.Task[None]] = set()
         self.refusing = False
         self._stop_requested = asyncio.Event()
@@ -339,6 +342,7 @@
         if boxes != self.probes.boxes:
             event(_log, "limits-shared", boxes=boxes, before=self.probes.boxes)
         self.probes.boxes = boxes
+        self._target_client.set_max_connections(max(1, self._max_connections // boxes))
         settings = self._settings
         self.forwarder.configure_retries(
             ratio=settings.retry_ratio, saved=saved_retries(settings.retry_slack, boxes)
@@ -401,8 +405,10 @@
         self.limits.head_timeout_s = limits.head_s
         self.limits.idle_timeout_s = limits.idle_s
         self.forwarder.keep_only({kind.name for kind in table.kinds})
-        max_connections = min((s.connections for s in table.services.values()), default=256)
-        self._target_client.set_max_connections(max(4, max_connections // self.probes.boxes))
+        self._max_connections = min(
+            (s.connections for s in table.services.values()), default=_DEFAULT_CONNECTIONS
+        )
+        self._share_limits()
 
     def _apply_target_rows(self, rows: list[TableRow]) -> None:
         self._target_listing.apply(rows)
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -142,7 +142,16 @@
         self.opened_in_closed_pools = 0
 
     def set_max_connections(self, max_links: int) -> None:
-        """Set the maximum number of open connections to one target."""
+        """Set the maximum number of open connections to one target.
+
+        Notes
+        -----
+        Each box takes its part of what a target accepts from all boxes.  The connections of an
+        earlier process on the box end with it, except after a loss of power: the target then
+        counts them until its own timeout.
+        """
+        if max_links == self._max_links:
+            return
         self._max_links = max_links
         for pool in self._pools.values():
             pool.max_links = max_links
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -122,8 +122,15 @@
         return link
 
     def release_link(self, link: TargetLink) -> None:
-        """Return a connection to the pool if it can be reused, else close it."""
-        if link.mark_idle(self._loop.time()):
+        """Return a connection to the pool if it can be reused, else close it.
+
+        Notes
+        -----
+        A connection beyond the maximum is closed: the maximum falls when a box learns of
+        more boxes, which then need their part of what the target accepts.
+        """
+        within_limit = len(self.open_links) <= self.max_links
+        if link.mark_idle(self._loop.time()) and within_limit:
             self._idle.append(link)
         else:
             self._close_link(link)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from dunlinnotch.coordination.budgets.shares import MIN_BOXES
 from dunlinnotch.coordination.choosing.fresh_reports import MAX_FRESH_AGE_S
+from dunlinnotch.protocol.relay import NotSent
 from dunlinnotch.standins.users.store import StoreFault
 from dunlinnotch.standins.users.worker import WorkerFault, WorkerSettings
 from dunlinnotch.transport.stream.link_pool import LinkPool
@@ -227,6 +229,25 @@
     assert logged_events(caplog, "limits-shared")[0] == {"boxes": 640, "before": 1}
 
 
+def test_connections_to_targets_are_divided_anew_when_more_boxes_become_known():
+    async def test():
+        async with stream_world() as world:
+            box, address = world.boxes[0], world.workers[0].address
+            pool = box._target_client.pool(address)
+            links = [await pool.connect() for _ in range(260 // MIN_BOXES)]
+            assert isinstance(await pool.connect(), NotSent)
+            told = replace(box.mesh.own_heartbeat(), name="other", box_counts={"hall-a": 26})
+            box.mesh.receive(told)
+            await until(lambda: pool.max_links == 260 // 26)
+            for link in links:
+                pool.release_link(link)
+            assert len(pool.open_links) == 260 // 26
+            box.mesh.receive(replace(told, seq=told.seq + 1, box_counts={"hall-a": 2600}))
+            await until(lambda: pool.max_links == 1)
+
+    run(test)
+
+
 def test_request_does_not_run_at_a_target_that_took_over_an_address():
     async def test():
         async with stream_world() as world:
