Let the delay of calls to an absent store grow with places of more than 64 boxes

What the store saw (by reading, and by the test): while it is away, calls of a place with more than 64 boxes grow with their number again, as the delay stopped at 0.1 s x 2^8 = 25.6 s: 100 boxes make one call in 0.26 s in place of 0.4, 1,000 one in 0.026. The exponent is now limited only against overflow; the doc comment says what bounds the sum.

Test: three of four new cases fail before."

--- a/dunlinnotch/coordination/settings/following.py
+++ b/dunlinnotch/coordination/settings/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,8 @@
 _AFTER_CHANGE_DELAY_S = 0.4
 #: First and maximum delay after failed calls.
 _RETRY_DELAYS_S = (0.1, 0.8)
+#: Doublings of the first delay: enough for thousands of boxes in a place, and no overflow.
+_MAX_DOUBLINGS = 16
 #: Mean interval between the attempts of all boxes of a place together while none reaches the
 #: store.  Each box waits this interval times the number of live boxes of its place, so that
 #: the rate of calls does not grow with that number.
@@ -101,11 +104,19 @@
                 await asyncio.sleep(self._retry_delay() * (0.7 + 0.6 * self._rng.random()))
 
     def _retry_delay(self) -> Seconds:
-        """Return the seconds to wait after a failed call, before jitter."""
+        """Return the seconds to wait after a failed call, before jitter.
+
+        Notes
+        -----
+        Bounds the calls of all boxes to a store that is away: the mean rate of one place is one
+        call in ``_SHARED_RETRY_DELAY_S``, however many boxes it has.  A box that has just
+        started, or that hears of no other, makes a few more calls until its delay has doubled
+        to its part; starts are spread over ``START_DELAY_RANGE_S`` and are seconds apart.
+        """
         first_delay, max_delay = _RETRY_DELAYS_S
         if not self._mesh.is_follower():
             max_delay = max(max_delay, _SHARED_RETRY_DELAY_S * self._mesh.local_live_count())
-        return min(max_delay, float(first_delay * 2 ** min(8, self._failures)))
+        return min(max_delay, math.ldexp(first_delay, min(_MAX_DOUBLINGS, self._failures)))
 
     def restart_if_behind(self) -> None:
         """Restart the call in progress unless it soon returns what a peer has reported."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -180,17 +180,18 @@
     follow(test)
 
 
-def test_retry_delay_of_boxes_grows_with_their_number_while_none_reaches_the_store():
+@pytest.mark.parametrize(("boxes", "failures"), [(20, 9), (100, 9), (1000, 14), (1000, 5000)])
+def test_retry_delay_of_boxes_grows_with_their_number_while_none_reaches_the_store(boxes, failures):
     """Calls to a store that is down must not grow with the number of boxes."""
 
     async def test(source, table, follower, versions):
         mesh = follower._mesh
-        for number in range(19):
+        for number in range(boxes - 1):
             mesh.receive(replace(mesh.own_heartbeat(), name=f"b-{number}", reading=False))
         mesh.reading = False
-        follower._failures = 9
+        follower._failures = failures
         mesh.is_follower = lambda: False
-        assert follower._retry_delay() == pytest.approx(0.4 * 20)
+        assert follower._retry_delay() == pytest.approx(0.4 * boxes)
         mesh.is_follower = lambda: True
         assert follower._retry_delay() == pytest.approx(0.8)
 
