Lab: restart boxes in series while targets refuse, and let a soak have one fault throughout

Why soak and checker missed the incident: the checker judges retries by all boxes in every window of 10 s, but the only kill of boxes came once a scenario, and hardly ever with refusing targets. A new fault kills a share of the boxes again and again, and is always generated with targets that refuse; `--with box-restarts` puts it into every scenario of a soak."

--- a/dunlinnotch/cli/lab.py
+++ b/dunlinnotch/cli/lab.py
@@ -23,12 +23,15 @@
     load_result,
 )
 from dunlinnotch.lab.run import run_scenario
-from dunlinnotch.lab.scenario import Scenario, read_scenario
+from dunlinnotch.lab.scenario import FaultKind, Scenario, read_scenario
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
 _MAX_SOAK_SCENARIOS = 500
+WITH_FAULT = option(
+    "with", None, "A fault that each generated scenario has, as box-restarts", flag=False
+)
 #: Exit status that a shell reports for a process ended by SIGTERM.
 _SIGTERM_STATUS = 128 + signal.SIGTERM
 
@@ -89,6 +92,23 @@
             raise ConfigError(msg)
         return int(value)
 
+    def fault_option(self, name: str) -> FaultKind | None:
+        """Return the kind of fault that an option names; None if it is not given.
+
+        Raises
+        ------
+        ConfigError
+            If there is no such kind.
+        """
+        value = self.option(name)
+        if value is None:
+            return None
+        try:
+            return FaultKind(value)
+        except ValueError:
+            msg = f"--{name} {value}: allowed are {', '.join(FaultKind)}"
+            raise ConfigError(msg) from None
+
 
 class LabRun(LabCommand):
     """Run one scenario."""
@@ -103,6 +123,7 @@
     ]
     options: ClassVar[list[Any]] = [
         option("seed", None, "Seed from which the scenario is generated (default: 1)", flag=False),
+        WITH_FAULT,
         option("logs", None, "Directory for the boxes' logs (default: not kept)", flag=False),
         option("save", None, "File for the result, for lab compare and lab plot", flag=False),
     ]
@@ -111,7 +132,11 @@
         """Run the scenario; return FAILED if a guarantee was violated."""
         file = self.argument("day")
         seed = self.int_option("seed", 1, max_value=2**63)
-        scenario = generate_scenario(seed) if file is None else read_scenario(Path(file))
+        scenario = (
+            generate_scenario(seed, with_fault=self.fault_option("with"))
+            if file is None
+            else read_scenario(Path(file))
+        )
         with tempfile.TemporaryDirectory() as directory:
             result = self.run_with_progress(scenario, Path(self.option("logs") or directory))
         self.line(format_result(result))
@@ -130,6 +155,7 @@
         option("days", None, "Number of scenarios (default: 10)", flag=False),
         option("seed", None, "First seed (default: random)", flag=False),
         option("keep", None, "Directory for logs and results (default: soak)", flag=False),
+        WITH_FAULT,
     ]
 
     def act(self) -> Exit:
@@ -137,9 +163,10 @@
         count = self.int_option("days", 10, max_value=_MAX_SOAK_SCENARIOS)
         first_seed = self.int_option("seed", secrets.randbelow(2**31), max_value=2**63)
         keep = Path(self.option("keep") or "soak")
+        with_fault = self.fault_option("with")
         failed_seeds = []
         for seed in range(first_seed, first_seed + count):
-            scenario = generate_scenario(seed)
+            scenario = generate_scenario(seed, with_fault=with_fault)
             faults = ", ".join(f"{f.kind.value} at {f.at:g} s" for f in scenario.troubles)
             with tempfile.TemporaryDirectory() as directory:
                 result = self.run_with_progress(scenario, Path(directory))
--- a/dunlinnotch/lab/checker/common.py
+++ b/dunlinnotch/lab/checker/common.py
@@ -25,6 +25,7 @@
 BOX_OR_LINK_FAULTS = frozenset(
     {
         FaultKind.BOX_KILL,
+        FaultKind.BOX_RESTARTS,
         FaultKind.BOX_FREEZE,
         FaultKind.BOX_STOP,
         FaultKind.TARGET_SILENT,
--- a/dunlinnotch/lab/faults.py
+++ b/dunlinnotch/lab/faults.py
@@ -38,6 +38,8 @@
 #: rows are written again.
 _MAX_RESTORE_OUTAGE_S, _MAX_REWRITE_DELAY_S = 1.5, 1.5
 _STOP_INTERVAL_S = 1.0
+#: Time after which a box that was killed is started again.
+_RESTART_DELAY_S = 0.2
 
 
 class FaultInjector:
@@ -87,6 +89,7 @@
             FaultKind.DEADLY_REQUEST: self._send_crashing_requests,
             FaultKind.CALLER_LEAVES: self._send_abandoned_requests,
             FaultKind.BOX_KILL: self._kill_boxes,
+            FaultKind.BOX_RESTARTS: self._restart_boxes,
             FaultKind.BOX_FREEZE: self._freeze_boxes,
             FaultKind.BOX_STOP: self._stop_boxes,
             FaultKind.STORE_DOWN: self._fail_store,
@@ -270,6 +273,12 @@
             box.start()
         await asyncio.gather(*(box.wait_ready() for box in boxes))
 
+    async def _restart_boxes(self, plan: FaultPlan) -> None:
+        until = self._loop.time() + plan.for_s
+        while self._loop.time() < until:
+            await self._kill_boxes(plan.model_copy(update={"for_s": _RESTART_DELAY_S}))
+            await asyncio.sleep(plan.x)
+
     async def _freeze_boxes(self, plan: FaultPlan) -> None:
         boxes = self._sample_boxes(plan)
         for box in boxes:
--- a/dunlinnotch/lab/generate.py
+++ b/dunlinnotch/lab/generate.py
@@ -25,15 +25,23 @@
     FaultKind.STORE_BACK: (0.5, 6.0),
     FaultKind.DEADLY_REQUEST: (2.0, 8.0),
     FaultKind.CALLER_LEAVES: (2.0, 6.0),
+    FaultKind.BOX_RESTARTS: (0.5, 2.0),
 }
+#: Range of ``FaultPlan.for_s`` for kinds that need longer than others.
+_DURATIONS_S = {FaultKind.BOX_RESTARTS: (5.0, 9.0)}
+#: Faults that show a weakness only together with another: boxes that start again may retry
+#: too often only while targets refuse.
+_ACCOMPANIED_BY = {FaultKind.BOX_RESTARTS: FaultKind.TARGET_REFUSES}
 
 
-def generate_scenario(seed: int) -> Scenario:
+def generate_scenario(seed: int, *, with_fault: FaultKind | None = None) -> Scenario:
     """Generate the scenario of a seed; the same seed always gives the same scenario.
 
     Parameters
     ----------
     seed : int
+    with_fault : FaultKind, optional
+        A fault that every scenario has, beside those that are drawn.
 
     Returns
     -------
@@ -42,6 +50,14 @@
     rng = random.Random(seed)
     fault_count = rng.randint(*_FAULT_COUNT_RANGE)
     fault_kinds = rng.sample(list(FaultKind), fault_count)
+    if with_fault is not None and with_fault not in fault_kinds:
+        fault_kinds.append(with_fault)
+    faults = [_generate_fault(kind, rng) for kind in fault_kinds]
+    faults += [
+        fault.model_copy(update={"kind": _ACCOMPANIED_BY[fault.kind], "share": 1.0, "x": 0.9})
+        for fault in faults
+        if fault.kind in _ACCOMPANIED_BY
+    ]
     return Scenario(
         name=f"drawn-{seed}",
         seed=seed,
@@ -65,7 +81,7 @@
                 target_latency_ms=100,
             ),
         ),
-        troubles=tuple(_generate_fault(kind, rng) for kind in fault_kinds),
+        troubles=tuple(faults),
     )
 
 
@@ -83,7 +99,7 @@
     return FaultPlan(
         kind=kind,
         at=round(rng.uniform(_MIN_START_S, _MAX_START_S), 2),
-        for_s=round(rng.uniform(0.5, 5.0), 2),
+        for_s=round(rng.uniform(*_DURATIONS_S.get(kind, (0.5, 5.0))), 2),
         share=round(rng.uniform(0.1, 0.6), 2),
         x=round(rng.uniform(*_STRENGTH_RANGES.get(kind, (1.0, 2.0))), 2),
     )
--- a/dunlinnotch/lab/scenario.py
+++ b/dunlinnotch/lab/scenario.py
@@ -53,6 +53,8 @@
     RELEASE = "release"
     #: Boxes are killed and restarted.
     BOX_KILL = "box-kill"
+    #: Boxes are killed and restarted every ``x`` seconds, each time others.
+    BOX_RESTARTS = "box-restarts"
     #: Box processes are suspended (SIGSTOP) and resumed.
     BOX_FREEZE = "box-freeze"
     #: Boxes are told to stop (SIGTERM) and restarted, one after the other.
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -201,6 +201,7 @@
         ("lab run", "none.toml", "none.toml"),
         ("lab run", "--seed x", "--seed x: allowed is a whole number"),
         ("lab soak", "--days 501", "--days 501: allowed is a whole number from 0 to 500"),
+        ("lab soak", "--with rain", "--with rain: allowed are burst, target-slow, "),
         ("lab compare", "a.json b.json", "a.json: not a result saved by lab run"),
     ],
 )
@@ -313,3 +314,12 @@
     assert tool.wait(timeout=60) == 128 + signal.SIGTERM
     tool.stdout.close()
     assert find_processes(faults) == []
+
+
+def test_every_scenario_of_a_soak_has_the_fault_asked_for_with_its_companion():
+    for seed in range(50):
+        kinds = [
+            f.kind for f in generate_scenario(seed, with_fault=FaultKind.BOX_RESTARTS).troubles
+        ]
+        assert kinds.count(FaultKind.BOX_RESTARTS) == 1
+        assert FaultKind.TARGET_REFUSES in kinds
