--- a/dunlinnotch/coordination/budgets/probes.py
+++ b/dunlinnotch/coordination/budgets/probes.py
@@ -53,7 +53,9 @@
     Notes
     -----
     Probes are spaced evenly and never saved up, so a box that was paused sends no burst
-    when it resumes.  Not thread-safe.
+    when it resumes, and one that starts waits for a full interval before the first.  At most
+    ``boxes_max`` boxes probe, as each needs a lease in the store, so the sum over all boxes
+    stays within the budget however often boxes start.  Not thread-safe.
     """
 
     def __init__(self) -> None:
--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -189,7 +189,14 @@
 
     @property
     def max_boxes(self) -> int:
-        """Sum over all places of the largest number of boxes known there at once by any box."""
+        """Sum over all places of the largest number of boxes known there at once by any box.
+
+        Notes
+        -----
+        Only rises while the process runs.  It is too low until the process has heard from its
+        peers, and among boxes that all started behind one interruption of the network; limits
+        that must hold even then can't be divided by it.
+        """
         return sum(self._box_counts.values())
 
     def _update_box_counts(self, heartbeat: Heartbeat) -> None:
--- a/dunlinnotch/coordination/requests/crash_guard.py
+++ b/dunlinnotch/coordination/requests/crash_guard.py
@@ -54,6 +54,14 @@
     ----------
     targets_crashed : int
         Targets that crashed while they served a request of this box.
+
+    Notes
+    -----
+    What bounds the targets that one request crashes at all boxes together: the records are
+    replicated, so each crash counts at every box that it has reached, and a box that starts
+    serves only once it has the records of its peers or of the store
+    (:attr:`~.crash_gossip.CrashGossip.may_serve`).  A box that reaches neither serves after a
+    short wait without them, so each start of such a box may add up to the threshold.
     """
 
     def __init__(
--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -211,6 +211,12 @@
         instance : Instance
         until : float
             Monotonic seconds; does not shorten an earlier back-off.
+
+        Notes
+        -----
+        Each box learns of a back-off from a refusal of its own, and forgets it when it ends.
+        So all boxes together send a target in back-off what was in flight, and one request for
+        each start of a box.
         """
         instance.backoff_until = max(instance.backoff_until, until)
         self._backoffs[instance.start] = instance.backoff_until
