Warn when the slack of retries does not hold one for each box

No box then retries; without a line nobody sees why. The count of a box that has heard of no other is now the whole part of the slack, so that a slack of 62.5 does not turn retries off.

--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -41,7 +40,7 @@
         takes more than its part.
     """
     if known == 1 and has_seeds:
-        return max(MIN_BOXES, math.ceil(retry_slack))
+        return max(MIN_BOXES, int(retry_slack))
     return max(MIN_BOXES, known)
 
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -339,14 +339,22 @@
             has_seeds=self.gossip.has_seeds,
             retry_slack=self._settings.retry_slack,
         )
+        settings = self._settings
+        saved = saved_retries(settings.retry_slack, boxes)
         if boxes != self.probes.boxes:
-            event(_log, "limits-shared", boxes=boxes, before=self.probes.boxes)
+            event(
+                _log,
+                "limits-shared",
+                # Without a saved retry, no request is retried until the slack is raised.
+                level=logging.INFO if saved else logging.WARNING,
+                boxes=boxes,
+                before=self.probes.boxes,
+                retry_slack=settings.retry_slack,
+                saved_retries=saved,
+            )
         self.probes.boxes = boxes
         self._target_client.set_max_connections(max(1, self._max_connections // boxes))
-        settings = self._settings
-        self.forwarder.configure_retries(
-            ratio=settings.retry_ratio, saved=saved_retries(settings.retry_slack, boxes)
-        )
+        self.forwarder.configure_retries(ratio=settings.retry_ratio, saved=saved)
 
     def _can_serve(self) -> bool:
         tables_ready = self.routes.table is not None and all(t.loaded for t in self.tables.values())
