--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -158,7 +158,7 @@
     try:
         messages = [_read_message(fields) for fields in unpacker]
         complete = unpacker.tell() == len(data)
-    except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError, msgpack.UnpackException) as error:
         msg = f"datagram of {len(data)} bytes holds no valid message: {error}"
         raise ProtocolError(msg) from None
     if not messages or not complete:
@@ -223,7 +223,7 @@
             str(fields["t"]), int(fields["v"]), bool(fields["w"]), rows, changed, epoch
         )
         return delta, int(fields["a"])
-    except (KeyError, ValueError, TypeError) as error:
+    except (KeyError, ValueError, TypeError, OverflowError) as error:
         msg = f"invalid changes of a table: {error!r}"
         raise ProtocolError(msg) from None
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 
+import msgpack
 import pytest
 
 from benchmarks._boxes import Clock
@@ -17,7 +19,13 @@
     Mesh,
 )
 from dunlinnotch.errors import ProtocolError
-from dunlinnotch.protocol.mesh import pack_delta, pack_messages, unpack_delta, unpack_messages
+from dunlinnotch.protocol.mesh import (
+    pack_delta,
+    pack_heartbeat,
+    pack_messages,
+    unpack_delta,
+    unpack_messages,
+)
 from dunlinnotch.state.table_replica import TableDelta, TableReplica, TableRow
 
 
@@ -56,6 +64,25 @@
         unpack_messages(data)
 
 
+@pytest.mark.parametrize("place", [3, 4, 9, 12, (10, "t"), (11, "hall-a")])
+def test_heartbeat_with_an_infinity_is_rejected(place):
+    fields = msgpack.unpackb(pack_heartbeat(box("a", Clock())[0].own_heartbeat()))
+    if isinstance(place, int):
+        fields[place] = math.inf
+    else:
+        index, key = place
+        fields[index][key] = [math.inf] * 4 if key == "t" else math.inf
+    with pytest.raises(ProtocolError):
+        unpack_messages(msgpack.packb(fields))
+
+
+@pytest.mark.parametrize("change", [{"v": math.inf}, {"c": math.inf}, {"a": math.inf}])
+def test_delta_with_an_infinity_is_rejected(change):
+    delta = TableDelta("t", 9, False, (TableRow("a", 8, b"x"),))
+    with pytest.raises(ProtocolError):
+        unpack_delta({**pack_delta(delta, age_ms=5), **change})
+
+
 def test_deltas_are_equal_after_packing_and_unpacking():
     delta = TableDelta("t", 9, False, (TableRow("a", 8, b"x"), TableRow("b", 9, None)))
     assert unpack_delta(pack_delta(delta, age_ms=5)) == (delta, 5)
