Read on from a connection after a body that its handler did not read

Reading is paused above 64 KiB, and dropping the buffered parts neither counted them out nor resumed it. The test failed before.

--- a/dunlinnotch/transport/stream/link.py
+++ b/dunlinnotch/transport/stream/link.py
@@ -107,8 +107,10 @@
         self._changed.set()
 
     def drop(self) -> None:
-        """Drop the buffered parts, which will not be read."""
+        """Drop the buffered parts, which will not be read, and continue to read."""
         self._parts.clear()
+        self._buffered_bytes = 0
+        self._link.resume_reading()
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; wait for more until its end.
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dunlinnotch.protocol.attempt import BodyCutError
+from dunlinnotch.transport.stream.link import MAX_BUFFERED_BODY_BYTES, BodyQueue
 from dunlinnotch.transport.stream.server import ServerLimits, StreamServer
 from tests.stream_world import read_answer, until
 
@@ -229,3 +230,25 @@
             writer.close()
 
     run(test)
+
+
+class ManualLink:
+    """A link that records whether reading is paused."""
+
+    paused = False
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
+
+
+def test_body_that_the_handler_does_not_read_leaves_the_connection_readable():
+    link = ManualLink()
+    body = BodyQueue(link)
+    body.put(bytes(MAX_BUFFERED_BODY_BYTES + 1))
+    body.end()
+    assert link.paused
+    body.drop()
+    assert not link.paused
