--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -155,7 +155,8 @@
             return not self.error_status
         try:
             async with asyncio.timeout(_DISCARD_TIMEOUT_S):
-                async for _ in self.body():
+                # Not by `body`, which would send 100 Continue after the final answer.
+                async for _ in self._body.parts():
                     pass
         except (TimeoutError, BodyCutError):
             return False
--- a/tests/test_stream_server.py
+++ b/tests/test_stream_server.py
@@ -252,3 +252,22 @@
     assert link.paused
     body.drop()
     assert not link.paused
+
+
+def test_no_100_continue_is_sent_after_the_final_answer():
+    async def refuse(exchange):
+        exchange.reply(403, (), b"no")
+
+    async def test():
+        server = StreamServer(refuse)
+        host, _, port = (await server.listen("127.0.0.1:0")).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        writer.write(head + b"Expect: 100-continue\r\n\r\n")
+        assert (await read_answer(reader)).status == 403
+        writer.write(b"abc" + head + b"\r\nabc")
+        assert (await read_answer(reader)).status == 403
+        writer.close()
+        await server.close()
+
+    run(test)
