Let probe buckets fill from the start of the process

A box has earned its part since its process began, 0.6 s before it serves. A target that goes and comes back gets a bucket that fills from then, so that it gets no burst (its test fails without).

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -321,7 +321,6 @@
             instances.apply(listing, 0.0)
         probes = ProbeShare(_PROBES_PER_S, clock=clock, rng=rng)
         probes.boxes = BOXES
-        probes.set_targets({target.name for target in self._targets.values()})
         latency_model = LatencyModel()
         chooser = FreshReportChooser(place=place, latency_model=latency_model, rng=rng)
         targets = ModelTargets(self._targets)
--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -53,6 +53,8 @@
         Maximum number of probes per second to one target, from all boxes together.
     clock : callable
     rng : random.Random
+    started_at : float, optional
+        When the process began, by ``clock``; now by default.
 
     Attributes
     ----------
@@ -64,19 +66,27 @@
     Notes
     -----
     One token bucket for each target.  A bucket holds the share of one second, but at least
-    one probe.  It begins with a random part of one probe, as a process can't know what an
-    earlier one on its box has spent: the mean number of probes sent within some seconds of a
-    start is then the rate times these seconds, even where the rate is less than one a second,
-    so that starts, however many, add nothing to the sum over all boxes.  That sum stays within
-    the budget while no box counts fewer boxes than there are
-    (see :func:`count_sharing_boxes`).
+    one probe.  It fills from the start of the process, and begins with a random part of one
+    probe, as a process can't know what an earlier one on its box has spent: the mean number of
+    probes sent within some seconds of a start is then at most the rate times these seconds,
+    also where the rate is less than one a second, so that starts, however many, add nothing to
+    the sum over all boxes.  That sum stays within the budget while no box counts fewer boxes
+    than there are (see :func:`count_sharing_boxes`).
     """
 
-    def __init__(self, max_per_s: float, *, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        max_per_s: float,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        started_at: Seconds | None = None,
+    ) -> None:
         self.max_per_s = max_per_s
         self.boxes = 1
         self._clock = clock
         self._rng = rng
+        self._fill_from = clock() if started_at is None else started_at
         self._buckets: dict[str, tuple[float, Seconds]] = {}
         self.spent = 0
         self.denied = 0
@@ -108,16 +118,16 @@
         now = self._clock()
         rate = self.rate
         max_tokens = max(1.0, rate)
-        tokens, at = self._buckets.get(target) or (self._rng.random(), now)
+        tokens, at = self._buckets.get(target) or (self._rng.random(), self._fill_from)
         tokens = min(max_tokens, tokens + (now - at) * rate)
         self._buckets[target] = (tokens, now)
         return tokens
 
-    def set_targets(self, targets: set[str]) -> None:
-        """Begin to fill the buckets of new targets, and drop those of all others."""
-        for target in [t for t in self._buckets if t not in targets]:
+    def retain(self, targets: set[str]) -> None:
+        """Drop the buckets of all other targets."""
+        dropped = [target for target in self._buckets if target not in targets]
+        for target in dropped:
             del self._buckets[target]
-        now = self._clock()
-        for target in targets:
-            if target not in self._buckets:
-                self._buckets[target] = (self._rng.random(), now)
+        if dropped:
+            # A target that comes back may have been probed until now.
+            self._fill_from = self._clock()
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -136,6 +136,8 @@
     rng : random.Random
     dropped_lines : callable
         Returns the number of log lines dropped so far.
+    started_at : float, optional
+        When the process began, by the clock of the event loop; now by default.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         *,
         rng: random.Random,
         dropped_lines: Callable[[], int],
+        started_at: Seconds | None = None,
     ) -> None:
         self._settings = settings
         self._adapter = adapter
@@ -202,7 +205,7 @@
         self._crash_guard = CrashGuard(
             self.crashes, self._target_client, publish=self.crash_gossip.publish
         )
-        self.probes = ProbeShare(settings.probes_per_s, clock=clock, rng=rng)
+        self.probes = ProbeShare(settings.probes_per_s, clock=clock, rng=rng, started_at=started_at)
         self.latency_model = LatencyModel()
         chooser = FreshReportChooser(
             place=settings.place, latency_model=self.latency_model, rng=rng
@@ -421,7 +424,7 @@
     def _apply_target_rows(self, rows: list[TableRow]) -> None:
         self._target_listing.apply(rows)
         self._target_client.close_others(self.instances.addresses())
-        self.probes.set_targets({instance.name for instance in self.instances.all()})
+        self.probes.retain({instance.name for instance in self.instances.all()})
 
     def _gauges(self) -> dict[str, float]:
         gauges = {
--- a/dunlinnotch/platform/__main__.py
+++ b/dunlinnotch/platform/__main__.py
@@ -7,6 +7,11 @@
 # TLS is not used; without the ssl module, asyncio loads much faster.
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
+from dunlinnotch._clocks import elapsed  # noqa: E402
+
+#: When the process began; the imports below take a part of a second.
+_STARTED_AT = elapsed()
+
 import asyncio  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
@@ -49,7 +54,13 @@
     path: Path,
 ) -> None:
     adapter = make_adapter(endpoint_settings.store)
-    box = EntryBox(settings, adapter, rng=random.Random(), dropped_lines=lambda: stream.dropped)
+    box = EntryBox(
+        settings,
+        adapter,
+        rng=random.Random(),
+        dropped_lines=lambda: stream.dropped,
+        started_at=_STARTED_AT,
+    )
     endpoints = Endpoints(box, max_ttl=endpoint_settings.max_ttl)
     for address, handler in (
         (endpoint_settings.readiness, endpoints.readiness),
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -230,8 +230,13 @@
     self._on_change(self.table)
 
 
-def _fill_buckets(self, targets):
-    self._buckets = {target: (max(1.0, self.rate), self._clock()) for target in targets}
+def _begin_full(self, target):
+    now, rate = self._clock(), self.rate
+    max_tokens = max(1.0, rate)
+    tokens, at = self._buckets.get(target, (max_tokens, now))
+    tokens = min(max_tokens, tokens + (now - at) * rate)
+    self._buckets[target] = (tokens, now)
+    return tokens
 
 
 def _count_known_boxes(known, **_):
@@ -450,9 +455,7 @@
         "tests/test_store_tables.py",
     ),
     Mutant("probe without a budget", ProbeShare, "try_spend", _always_spend, SHARES),
-    Mutant(
-        "begin each life with full probe buckets", ProbeShare, "set_targets", _fill_buckets, SHARES
-    ),
+    Mutant("begin each life with full probe buckets", ProbeShare, "_tokens", _begin_full, SHARES),
     Mutant(
         "take the whole of shared limits before others are known",
         entry,
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -46,7 +46,6 @@
         targets = Targets(latency_ratios or {}, running)
         now = 0.0
         probes = ProbeShare(probes_per_s, clock=lambda: now, rng=random.Random(1))
-        probes.set_targets({name for _, name in names})
         now = 100.0  # all buckets are full
         rng = random.Random(1)
         selector = TargetSelector(
@@ -213,7 +212,6 @@
         targets = ManualTargets()
         loop = asyncio.get_running_loop()
         probes = ProbeShare(1e6, clock=loop.time, rng=random.Random(1))
-        probes.set_targets({name for _, name in names})
         selector = TargetSelector(
             instances=instances,
             chooser=FreshReportChooser(
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -51,7 +51,6 @@
     def start(self, box):
         share = self.shares[box] = ProbeShare(BUDGET, clock=self.clock, rng=self.rng)
         share.boxes = count_sharing_boxes(1, has_seeds=True, retry_slack=SLACK)
-        share.set_targets({"t"})
 
     @rule(box=boxes)
     def hear_of_the_others(self, box):
@@ -96,12 +95,22 @@
     sent = 0
     for _ in range(1000):
         share = ProbeShare(10.0, clock=clock, rng=rng)
-        share.set_targets({"t"})
         clock.now += 0.05
         sent += sum(share.try_spend("t") for _ in range(100))
     assert sent <= 10.0 * 50.0
 
 
+def test_target_that_goes_and_comes_back_gets_no_burst_of_probes():
+    clock = Clock()
+    share = ProbeShare(10.0, clock=clock, rng=random.Random(1), started_at=clock.now - 9.0)
+    sent = 0
+    for _ in range(50):
+        sent += sum(share.try_spend("t") for _ in range(100))
+        share.retain(set())
+        clock.now += 0.05
+    assert sent <= 10 + 10.0 * 50 * 0.05
+
+
 @pytest.mark.parametrize(
     ("known", "has_seeds", "slack", "expected"),
     [
@@ -143,7 +152,6 @@
     clock = Clock()
     share = ProbeShare(10.0, clock=clock, rng=random.Random(1))
     share.boxes = 1
-    share.set_targets({"t", "other"})
     clock.now += 1.0
     spent = sum(share.try_spend("t") for _ in range(100))
     assert spent == 8
