--- a/dunlinnotch/platform/store.py
+++ b/dunlinnotch/platform/store.py
@@ -111,7 +111,7 @@
             if start:
                 query["from"] = start
             content = await self._get("/api/rows-get", query, _ANSWER_TIMEOUT_S)
-            page = [_parse_row(row) for row in content.get("rows", ())]
+            page = _parse_rows(content)
             rows += [row for row in page if row.key != start or not start]
             if first is None:
                 first, epoch = content, self._epoch
@@ -120,6 +120,9 @@
                 raise PlatformUnavailableError(msg)
             if not content.get("more") or not page:
                 return tuple(rows), first, epoch
+            if page[-1].key <= start:
+                msg = f"/api/rows-get: the page from key {start!r} of {table!r} does not go on"
+                raise PlatformUnavailableError(msg)
             start = page[-1].key
 
     async def changes(self, table: str, after: int, wait: float) -> TableDelta | HistoryGone:
@@ -130,7 +133,7 @@
         if answer.status == _HISTORY_GONE:
             return HistoryGone()
         content = _parse_answer(answer, "/api/rows-feed")
-        rows = tuple(_parse_row(row) for row in content.get("rows", ()))
+        rows = tuple(_parse_rows(content))
         return TableDelta(table, _read_integer(content, "ver"), False, rows, epoch=epoch)
 
     async def _get(self, path: str, query: dict[str, str], timeout: float) -> dict[str, Any]:
@@ -173,6 +176,15 @@
     return content
 
 
+def _parse_rows(content: dict[str, Any]) -> list[TableRow]:
+    """Return the rows in an answer; it may have none."""
+    rows = content.get("rows", [])
+    if not isinstance(rows, list):
+        msg = f"rows = {rows!r:.80}: a list is needed"
+        raise PlatformUnavailableError(msg)
+    return [_parse_row(row) for row in rows]
+
+
 def _parse_row(content: Any) -> TableRow:  # noqa: ANN401 - checked here
     try:
         value = None if content.get("gone") else base64.b64decode(content["value"])
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,6 +20,7 @@
 from dunlinnotch.protocol.store import HistoryGone
 from dunlinnotch.standins.users.store import StoreFault, StoreStandin
 from dunlinnotch.state.heads import AnswerHead, Header
+from dunlinnotch.transport.stream.server import StreamServer
 from tests.stream_world import document, until
 
 SETTINGS_FILE = """
@@ -283,6 +284,27 @@
     asyncio.run(test())
 
 
+ROW = {"tls-key": "k", "ver": 1, "value": ""}
+
+
+@pytest.mark.parametrize(
+    "content", [{"rows": [ROW], "more": True, "ver": 1}, {"rows": None}, {"rows": {"k": ROW}}]
+)
+def test_store_that_repeats_a_page_or_sends_no_list_of_rows_is_reported_as_unavailable(content):
+    async def answer(exchange):
+        exchange.reply(200, (), json.dumps(content).encode())
+
+    async def test():
+        server = StreamServer(answer)
+        store = PlatformStore(await server.listen("127.0.0.1:0"))
+        async with asyncio.timeout(30):
+            with pytest.raises(PlatformUnavailableError):
+                await store.read_table("t")
+        await server.close()
+
+    asyncio.run(test())
+
+
 @pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.MANY, StoreFault.RESET])
 def test_failing_store_is_reported_as_unavailable(fault):
     async def test():
