--- a/dunlinnotch/coordination/choosing/fresh_reports.py
+++ b/dunlinnotch/coordination/choosing/fresh_reports.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
 _EJECT_AFTER_FAILURES = 2
 #: Minimum and maximum ejection time, in seconds; it doubles with each further failure.
 _EJECTION_RANGE_S = (0.5, 4.0)
+#: Doublings that reach the longest ejection; more would overflow after a thousand failures.
+_MAX_EJECTION_DOUBLINGS = 8
 #: Factors and penalty on the expected latency ratio of a target.
 _SLOW_START_FACTOR = 1.6
 #: Finite, because a failing health check may be wrong: the target stays a last choice.
@@ -178,7 +181,8 @@
         excess_failures = instance.failures - _EJECT_AFTER_FAILURES
         if excess_failures >= 0:
             min_s, max_s = _EJECTION_RANGE_S
-            instance.ejected_until = now + min(max_s, min_s * 2**excess_failures)
+            doublings = min(excess_failures, _MAX_EJECTION_DOUBLINGS)
+            instance.ejected_until = now + min(max_s, math.ldexp(min_s, doublings))
 
     def record_refusal(self, instance: Instance, status: TargetStatus, now: Seconds) -> None:
         """Record that a target refused a request, with the status it sent.
--- a/tests/test_fresh_reports.py
+++ b/tests/test_fresh_reports.py
@@ -103,3 +103,10 @@
     for _ in range(2):
         chooser.record_refusal(instance, status, NOW)
     assert (instance.ejected_until > NOW) is ejected
+
+
+def test_target_that_keeps_failing_stays_ejected_for_the_longest_time():
+    instance = target()
+    for _ in range(3000):
+        FreshReportChooser.record_failure(instance, NOW)
+    assert instance.ejected_until == NOW + 4.0
