--- a/dunlinnotch/coordination/budgets/shares.py
+++ b/dunlinnotch/coordination/budgets/shares.py
@@ -1,7 +1,7 @@
 """Budgets over all boxes, each box keeping to its own share.
 
-A box's share is the budget divided by the maximum number of boxes that may run, so the sum
-stays within the budget even while the boxes' views of each other differ.
+A box's share is the budget divided by the number of boxes: the largest that it has heard of,
+or the largest that the settings allow while it has heard of none.
 """
 
 from __future__ import annotations
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -121,7 +121,8 @@
         self._latency_model = latency_model
         self._selector = selector
         self._retry_ratio = retry_ratio
-        self._saved_retries = saved_retries
+        #: Maximum number of unspent retries kept for each service.
+        self.saved_retries = saved_retries
         self._guard = guard
         self._targets = targets
         self._observer = observer
@@ -148,7 +149,7 @@
         """Return this box's budget for retries at a service."""
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._retry_ratio, max_saved=self._saved_retries)
+            budget = RetryBudget(self._retry_ratio, max_saved=self.saved_retries)
             self._retry_budgets[service] = budget
         return budget
 
@@ -162,7 +163,7 @@
         saved : float
             Maximum number of unspent retries that are kept.
         """
-        self._retry_ratio, self._saved_retries = ratio, saved
+        self._retry_ratio, self.saved_retries = ratio, saved
         for budget in self._retry_budgets.values():
             budget.share, budget.max_saved = ratio, saved
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -344,7 +344,7 @@
         )
         settings = self._settings
         saved = saved_retries(settings.retry_slack, boxes)
-        if boxes != self.probes.boxes:
+        if boxes != self.probes.boxes or saved != self.forwarder.saved_retries:
             event(
                 _log,
                 "limits-shared",
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -231,6 +231,19 @@
     assert logged_events(caplog, "limits-shared")[0] == limits
 
 
+def test_a_slack_without_a_retry_for_each_box_is_logged_as_a_warning(caplog):
+    async def test():
+        async with stream_world(saved_retries=False) as world:
+            box = world.boxes[0]
+            box.reload(replace(box._settings, retry_slack=MIN_BOXES - 1))
+            assert box.forwarder.saved_retries == 0
+
+    with caplog.at_level("INFO"):
+        run(test)
+    (warning,) = [r for r in caplog.records if r.levelname == "WARNING"]
+    assert (warning.message, warning.fields["saved_retries"]) == ("limits-shared", 0.0)
+
+
 def test_connections_to_targets_are_divided_anew_when_more_boxes_become_known():
     async def test():
         async with stream_world() as world:
