Keep a back-off that was just renewed when the oldest are dropped

What a target would see (by reading, then by the test): of more than 1,000 back-offs the one that was renewed last kept the place of its first mention and could be dropped, so that a target whose row goes and comes back got requests within its back-off. Removed targets likewise. The test failed before.

--- a/dunlinnotch/state/instances.py
+++ b/dunlinnotch/state/instances.py
@@ -219,8 +219,7 @@
         each start of a box.
         """
         instance.backoff_until = max(instance.backoff_until, until)
-        self._backoffs[instance.start] = instance.backoff_until
-        _drop_oldest(self._backoffs, _MAX_BACKOFFS)
+        _store_newest(self._backoffs, instance.start, instance.backoff_until, limit=_MAX_BACKOFFS)
 
     def backoff_left(self, service: str, now: Seconds) -> Seconds:
         """Return the seconds until the first target of a service may get work again."""
@@ -274,8 +273,8 @@
         return {instance.address for instance in self._instances.values()}
 
     def _record_removal(self, instance: str, order: RowOrder) -> None:
-        self._removed[instance] = max(order, self._removed.get(instance, order))
-        _drop_oldest(self._removed, _MAX_REMOVED)
+        newest = max(order, self._removed.get(instance, order))
+        _store_newest(self._removed, instance, newest, limit=_MAX_REMOVED)
 
     def _index(self) -> None:
         services: dict[str, list[Instance]] = {}
@@ -284,7 +283,9 @@
         self._by_service = services
 
 
-def _drop_oldest(entries: dict[str, Any], limit: int) -> None:
-    """Drop the oldest entries above a limit."""
+def _store_newest(entries: dict[str, Any], key: str, value: object, *, limit: int) -> None:
+    """Store an entry as the newest, and drop the oldest ones above a limit."""
+    entries.pop(key, None)
+    entries[key] = value
     while len(entries) > limit:
         entries.pop(next(iter(entries)))
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -196,3 +196,15 @@
     assert not instances.retire("i-1")
     assert not instances.apply(listed(born=1000, sequence=sequence), 1.0)
     assert instances.apply(listed(born=2000, sequence=0), 2.0)
+
+
+def test_a_renewed_backoff_is_not_dropped_as_the_oldest(monkeypatch):
+    monkeypatch.setattr("dunlinnotch.state.instances._MAX_BACKOFFS", 2)
+    instances = InstanceList()
+    for name in "abc":
+        instances.apply(listed(instance=name), 0.0)
+    for name in "abac":
+        instances.back_off(instances.find(name), 30.0)
+    instances.remove("a")
+    instances.apply(listed(instance="a", sequence=50), 1.0)
+    assert instances.find("a").backoff_until == 30.0
