Lab: make scenarios with restarts in series sharp enough to show retries beyond the budget

Scenarios with box-restarts now have callers that do not retry, and kill 0.7 to 1.0 of the boxes again and again from the first seconds on.

--- a/dunlinnotch/lab/generate.py
+++ b/dunlinnotch/lab/generate.py
@@ -3,32 +3,42 @@
 from __future__ import annotations
 
 import random
+from typing import NamedTuple
 
 from dunlinnotch.lab.scenario import FaultKind, FaultPlan, KindPlan, Scenario, ServicePlan
 
 _SCENARIO_LENGTH_S = 16.0
-#: Faults start early enough for the scenario to end with traffic after them.
-_MIN_START_S, _MAX_START_S = 1.0, 9.0
 _FAULT_COUNT_RANGE = (2, 5)
 #: Probability that the targets of a service never answer requests beyond their queue.
 _HANG_PROBABILITY = 0.3
-#: Range of ``FaultPlan.x`` for each kind.
-_STRENGTH_RANGES = {
-    FaultKind.BURST: (1.3, 2.0),
-    FaultKind.TARGET_SLOW: (3.0, 12.0),
-    FaultKind.ANSWER_LOST: (0.02, 0.3),
-    FaultKind.ANSWER_CUT: (0.02, 0.3),
-    FaultKind.ANSWER_TWICE: (0.02, 0.3),
-    FaultKind.TARGET_REFUSES: (0.2, 1.0),
-    FaultKind.TARGET_RESTS: (0.2, 1.0),
-    FaultKind.STORE_SLOW: (0.05, 0.5),
-    FaultKind.STORE_BACK: (0.5, 6.0),
-    FaultKind.DEADLY_REQUEST: (2.0, 8.0),
-    FaultKind.CALLER_LEAVES: (2.0, 6.0),
-    FaultKind.BOX_RESTARTS: (0.5, 2.0),
+
+
+class _Ranges(NamedTuple):
+    """Ranges from which the fields of a `FaultPlan` are drawn.
+
+    Faults start early enough for the scenario to end with traffic after them.
+    """
+
+    at: tuple[float, float] = (1.0, 9.0)
+    for_s: tuple[float, float] = (0.5, 5.0)
+    share: tuple[float, float] = (0.1, 0.6)
+    x: tuple[float, float] = (1.0, 2.0)
+
+
+_RANGES = {
+    FaultKind.BURST: _Ranges(x=(1.3, 2.0)),
+    FaultKind.TARGET_SLOW: _Ranges(x=(3.0, 12.0)),
+    FaultKind.ANSWER_LOST: _Ranges(x=(0.02, 0.3)),
+    FaultKind.ANSWER_CUT: _Ranges(x=(0.02, 0.3)),
+    FaultKind.ANSWER_TWICE: _Ranges(x=(0.02, 0.3)),
+    FaultKind.TARGET_REFUSES: _Ranges(x=(0.2, 1.0)),
+    FaultKind.TARGET_RESTS: _Ranges(x=(0.2, 1.0)),
+    FaultKind.STORE_SLOW: _Ranges(x=(0.05, 0.5)),
+    FaultKind.STORE_BACK: _Ranges(x=(0.5, 6.0)),
+    FaultKind.DEADLY_REQUEST: _Ranges(x=(2.0, 8.0)),
+    FaultKind.CALLER_LEAVES: _Ranges(x=(2.0, 6.0)),
+    FaultKind.BOX_RESTARTS: _Ranges((1.0, 2.0), (8.0, 9.0), (0.7, 1.0), (0.8, 1.4)),
 }
-#: Range of ``FaultPlan.for_s`` for kinds that need longer than others.
-_DURATIONS_S = {FaultKind.BOX_RESTARTS: (5.0, 9.0)}
 #: Faults that show a weakness only together with another: boxes that start again may retry
 #: too often only while targets refuse.
 _ACCOMPANIED_BY = {FaultKind.BOX_RESTARTS: FaultKind.TARGET_REFUSES}
@@ -58,6 +68,22 @@
         for fault in faults
         if fault.kind in _ACCOMPANIED_BY
     ]
+    # Callers that retry would raise the number of requests, and with it the retries allowed.
+    caller_retries = 0 if any(f.kind in _ACCOMPANIED_BY for f in faults) else 2
+    kinds = (
+        KindPlan(name="lookup", service="records", repeatable=True, per_s=60, rank=2),
+        KindPlan(name="payment", service="records", repeatable=False, per_s=30),
+        KindPlan(name="upload", service="uploads", repeatable=False, per_s=10, work_ms=30),
+        KindPlan(
+            name="check",
+            service="uploads",
+            also="records",
+            repeatable=True,
+            per_s=20,
+            work_ms=10,
+            target_latency_ms=100,
+        ),
+    )
     return Scenario(
         name=f"drawn-{seed}",
         seed=seed,
@@ -67,20 +93,7 @@
             _generate_service("records", (6, 10), rng),
             _generate_service("uploads", (2, 4), rng),
         ),
-        kinds=(
-            KindPlan(name="lookup", service="records", repeatable=True, per_s=60, rank=2),
-            KindPlan(name="payment", service="records", repeatable=False, per_s=30),
-            KindPlan(name="upload", service="uploads", repeatable=False, per_s=10, work_ms=30),
-            KindPlan(
-                name="check",
-                service="uploads",
-                also="records",
-                repeatable=True,
-                per_s=20,
-                work_ms=10,
-                target_latency_ms=100,
-            ),
-        ),
+        kinds=tuple(kind.model_copy(update={"retries": caller_retries}) for kind in kinds),
         troubles=tuple(faults),
     )
 
@@ -96,10 +109,11 @@
 
 
 def _generate_fault(kind: FaultKind, rng: random.Random) -> FaultPlan:
+    ranges = _RANGES.get(kind, _Ranges())
     return FaultPlan(
         kind=kind,
-        at=round(rng.uniform(_MIN_START_S, _MAX_START_S), 2),
-        for_s=round(rng.uniform(*_DURATIONS_S.get(kind, (0.5, 5.0))), 2),
-        share=round(rng.uniform(0.1, 0.6), 2),
-        x=round(rng.uniform(*_STRENGTH_RANGES.get(kind, (1.0, 2.0))), 2),
+        at=round(rng.uniform(*ranges.at), 2),
+        for_s=round(rng.uniform(*ranges.for_s), 2),
+        share=round(rng.uniform(*ranges.share), 2),
+        x=round(rng.uniform(*ranges.x), 2),
     )
