--- a/dunlinnotch/coordination/budgets/retries.py
+++ b/dunlinnotch/coordination/budgets/retries.py
@@ -96,6 +96,7 @@
     float
         One retry, the least that a box needs to retry at all, or 0 if the slack does not
         hold one for each box.  Not more where the slack would allow it: a box that counts
-        too few boxes would then keep more than its part.
+        too few boxes would then keep more than its part.  What the slack holds beyond that
+        covers requests and retries that are on their way when a period begins.
     """
     return 1.0 if boxes <= slack else 0.0
