--- a/dunlinnotch/standins/users/box.py
+++ b/dunlinnotch/standins/users/box.py
@@ -92,7 +92,15 @@
         self.settings_file.write_text(text, encoding="utf-8")
 
     def start(self) -> None:
-        """Start the process; its output is appended to the log file."""
+        """Start the process unless it runs; its output is appended to the log file.
+
+        Notes
+        -----
+        Two faults may each stop a box and start it again.  A second process would replace the
+        first one here, which nobody would end then.
+        """
+        if self.running:
+            return
         environment = {**os.environ, "DUNLINNOTCH_NODE_FILE": str(self.settings_file)}
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
--- a/tests/test_users_processes.py
+++ b/tests/test_users_processes.py
@@ -90,3 +90,16 @@
         assert (await fleet.call(first, "/lookup/a"))[0] == 200
 
     run(tmp_path, test)
+
+
+def test_box_that_two_faults_start_again_has_one_process(tmp_path):
+    async def test(fleet):
+        box = await fleet.start_box()
+        process = box.process
+        box.start()
+        assert box.process is process
+        box.kill()
+        box.start()
+        assert box.process is not process
+
+    run(tmp_path, test)
