Give the selector's tests full probe buckets of the budget they had before

When buckets stopped being full at first, one test was given a budget of 1e6 in place of 60, and another a clock that jumps. A start of the process ten seconds ago fills the buckets just as well, with the budget of 60 as it was; all tests of the file pass.

--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -44,9 +44,7 @@
             listed = ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0)
             instances.apply(listed, 0.0)
         targets = Targets(latency_ratios or {}, running)
-        now = 0.0
-        probes = ProbeShare(probes_per_s, clock=lambda: now, rng=random.Random(1))
-        now = 100.0  # all buckets are full
+        probes = ProbeShare(probes_per_s, clock=lambda: 100.0, rng=random.Random(1), started_at=0.0)
         rng = random.Random(1)
         selector = TargetSelector(
             instances=instances,
@@ -211,7 +209,8 @@
             instances.apply(ListedTarget(name, "s", place, f"{name}:1", 3, False, 1, 0.0), 0.0)
         targets = ManualTargets()
         loop = asyncio.get_running_loop()
-        probes = ProbeShare(1e6, clock=loop.time, rng=random.Random(1))
+        started_at = loop.time() - 10.0  # all buckets are full
+        probes = ProbeShare(60.0, clock=loop.time, rng=random.Random(1), started_at=started_at)
         selector = TargetSelector(
             instances=instances,
             chooser=FreshReportChooser(
