Log and count the targets that a box can't reach, and the services it is cut off from

Each connection that opens or fails to open now updates what the box reaches; service-unreached and service-reached lines give the counts, targets_unreached the metric. No decision uses it yet.

--- /dev/null
+++ b/dunlinnotch/coordination/choosing/reach.py
@@ -0,0 +1,124 @@
+"""Tell the targets that this box can't reach from those that fail by themselves.
+
+A connection that can't be opened looks the same whether its target is gone or the path to it
+is cut.  The difference shows in the other targets of the service: most of them can't be
+reached at the same time only if the path is cut, or if the whole service is gone.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from dunlinnotch._logs import event
+
+if TYPE_CHECKING:
+    from dunlinnotch.state.instances import Instance, InstanceList
+    from dunlinnotch.types import Address, Clock, Seconds
+
+#: Time for which a target counts as reached after it was last heard, in seconds.
+_REACHED_FOR_S = 3.0
+#: Fewest targets that can't be reached at once if the path is cut; one alone has failed.
+_MIN_UNREACHED = 2
+
+_log = logging.getLogger(__name__)
+
+
+class TargetReach:
+    """Which targets, and which services, this box reaches, by its own connections.
+
+    Parameters
+    ----------
+    instances : InstanceList
+    clock : callable
+        Returns monotonic seconds.
+
+    Notes
+    -----
+    A target counts as unreached from a connection that could not be opened until one is
+    opened or a byte arrives from it, also on a connection opened earlier.
+    """
+
+    def __init__(self, instances: InstanceList, *, clock: Clock) -> None:
+        self._instances = instances
+        self._clock = clock
+        self._reached_at: dict[Address, Seconds] = {}
+        self._unreached_since: dict[Address, Seconds] = {}
+        #: Services that were cut off at the last :meth:`update`.
+        self.cut_off: frozenset[str] = frozenset()
+
+    def record_contact(self, address: Address, reached: bool) -> None:
+        """Record that a target was heard, or that no connection to it could be opened."""
+        if reached:
+            self._reached_at[address] = self._clock()
+            self._unreached_since.pop(address, None)
+        else:
+            self._unreached_since.setdefault(address, self._clock())
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether this box reaches less than half of a service's targets that it tried.
+
+        Notes
+        -----
+        Targets whose rows are missing are left out: they have probably stopped.
+        """
+        if not self._unreached_since:
+            return False
+        unreached, reached = self._count(service)
+        return unreached >= min(_MIN_UNREACHED, max(1, self._listed(service))) and (
+            unreached > reached
+        )
+
+    def least_recent(self, service: str) -> list[Instance]:
+        """Return the targets of a service, those without news for longest first."""
+        return sorted(self._instances.for_service(service), key=lambda i: self._news_at(i.address))
+
+    @property
+    def unreached_count(self) -> int:
+        """Number of targets that this box can't reach."""
+        return len(self._unreached_since)
+
+    def retain(self, addresses: set[Address]) -> None:
+        """Forget all other addresses."""
+        for known in (self._reached_at, self._unreached_since):
+            for address in known.keys() - addresses:
+                del known[address]
+
+    def update(self) -> bool:
+        """Note which services are cut off now, and log changes; return whether any changed."""
+        services = {instance.listed.service for instance in self._instances.all()}
+        cut_off = frozenset(service for service in services if self.is_cut_off(service))
+        changed = cut_off ^ self.cut_off
+        for service in sorted(changed):
+            unreached, reached = self._count(service)
+            event(
+                _log,
+                "service-unreached" if service in cut_off else "service-reached",
+                level=logging.WARNING if service in cut_off else logging.INFO,
+                service=service,
+                unreached=unreached,
+                reached=reached,
+            )
+        self.cut_off = cut_off
+        return bool(changed)
+
+    def _listed(self, service: str) -> int:
+        instances = self._instances.for_service(service)
+        return sum(instance.missing_since is None for instance in instances)
+
+    def _count(self, service: str) -> tuple[int, int]:
+        """Return how many targets of a service this box does not reach, and does."""
+        reached_from = self._clock() - _REACHED_FOR_S
+        unreached = reached = 0
+        for instance in self._instances.for_service(service):
+            if instance.missing_since is not None:
+                continue
+            if instance.address in self._unreached_since:
+                unreached += 1
+            elif self._reached_at.get(instance.address, float("-inf")) > reached_from:
+                reached += 1
+        return unreached, reached
+
+    def _news_at(self, address: Address) -> Seconds:
+        since = self._unreached_since.get(address, float("-inf"))
+        return max(since, self._reached_at.get(address, float("-inf")))
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -16,6 +16,7 @@
 from dunlinnotch.coordination.budgets.shares import ProbeShare, count_sharing_boxes
 from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
 from dunlinnotch.coordination.choosing.latency_model import LatencyModel
+from dunlinnotch.coordination.choosing.reach import TargetReach
 from dunlinnotch.coordination.choosing.selector import TargetSelector
 from dunlinnotch.coordination.membership.crash_gossip import CrashGossip
 from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, STALE_S, Mesh
@@ -190,7 +191,8 @@
         ]
         self.pause_detector = PauseDetector(clock=clock, outdated=self._is_outdated)
         self.text_metrics = TextMetrics(self._gauges)
-        self._target_client = TargetClient(adapter.targets)
+        self.reach = TargetReach(self.instances, clock=clock)
+        self._target_client = TargetClient(adapter.targets, on_contact=self.reach.record_contact)
         self.crashes = CrashLog(clock=elapsed)
         self.crash_gossip = CrashGossip(
             self.crashes,
@@ -332,6 +334,7 @@
                 self.mesh.reading = reading
                 self.gossip.announce_state()
             self.mesh.in_flight = self.forwarder.in_flight
+            self.reach.update()
             self._share_limits()
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
@@ -423,7 +426,9 @@
 
     def _apply_target_rows(self, rows: list[TableRow]) -> None:
         self._target_listing.apply(rows)
-        self._target_client.close_others(self.instances.addresses())
+        addresses = self.instances.addresses()
+        self._target_client.close_others(addresses)
+        self.reach.retain(addresses)
         self.probes.retain({instance.name for instance in self.instances.all()})
 
     def _gauges(self) -> dict[str, float]:
@@ -443,6 +448,7 @@
             "store_failures_total": float(self._adapter.store_failures()),
             "settings_version": float(self._settings_version()),
             "boxes_live": float(len(self.mesh.live()) + 1),
+            "targets_unreached": float(self.reach.unreached_count),
             "boxes_sharing": float(self.probes.boxes),
             "in_flight": float(self.forwarder.in_flight),
             "word_bytes_total": float(self.gossip.sent_bytes),
--- a/dunlinnotch/daemon/metrics_text.py
+++ b/dunlinnotch/daemon/metrics_text.py
@@ -46,6 +46,7 @@
     TextMetricInfo("settings_version", "gauge", "", "Active settings version; 0 if none."),
     TextMetricInfo("table_age_seconds", "gauge", "table", "Time since a table was last current."),
     TextMetricInfo("boxes_live", "gauge", "", "Live boxes, this one included."),
+    TextMetricInfo("targets_unreached", "gauge", "", "Targets to which no connection opens."),
     TextMetricInfo("boxes_sharing", "gauge", "", "Boxes by which shared limits are divided."),
     TextMetricInfo("in_flight", "gauge", "", "Requests being served."),
     TextMetricInfo("word_bytes_total", "counter", "", "Bytes of datagrams sent to peers."),
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -128,6 +129,9 @@
     ----------
     dialect : TargetDialect
         Headers and statuses that targets use.
+    on_contact : callable, optional
+        Called with the address of a target, and with ``reached`` as True when the target is
+        heard, False when no connection to it could be opened.
 
     Attributes
     ----------
@@ -135,8 +139,14 @@
         Connections opened to targets that have been removed.
     """
 
-    def __init__(self, dialect: TargetDialect) -> None:
+    def __init__(
+        self,
+        dialect: TargetDialect,
+        *,
+        on_contact: Callable[[Address, bool], None] = lambda address, reached: None,
+    ) -> None:
         self._dialect = dialect
+        self._on_contact = on_contact
         self._pools: dict[Address, LinkPool] = {}
         self._max_links = 64
         self.opened_in_closed_pools = 0
@@ -160,7 +170,11 @@
         """Return the connection pool of one target."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = LinkPool(address, max_links=self._max_links)
+            pool = self._pools[address] = LinkPool(
+                address,
+                max_links=self._max_links,
+                on_contact=functools.partial(self._on_contact, address),
+            )
         return pool
 
     def close_others(self, addresses: set[Address]) -> None:
@@ -185,6 +199,10 @@
         """Return whether no process listens at the address of a target any more."""
         return await self.pool(address).refuses_connections()
 
+    async def check_path(self, address: Address) -> None:
+        """Learn whether a target can be reached, without sending it anything."""
+        await self.pool(address).check_path()
+
     async def probe(self, address: Address, path: str) -> ProbeResult:
         """Probe a target.
 
--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -13,7 +13,7 @@
 from dunlinnotch.transport.stream.link import BodyQueue, StreamLink
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from dunlinnotch.types import Address, Seconds
 
@@ -100,6 +100,8 @@
     Parameters
     ----------
     address : str
+    on_data : callable, optional
+        Called whenever bytes arrive.
 
     Attributes
     ----------
@@ -115,9 +117,10 @@
         Whether answers have no body, as the request is ``HEAD``.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, *, on_data: Callable[[], None] = lambda: None) -> None:
         super().__init__()
         self.address = address
+        self._on_data = on_data
         self.not_reusable = False
         self.used = 0
         self.idle_until: Seconds = 0.0
@@ -149,6 +152,7 @@
         """Parse received bytes; close an idle connection on which bytes arrive."""
         if self.closed:
             return
+        self._on_data()
         if not self.busy:
             self.abort()
             return
