Lab: a fault that cuts boxes off from all targets, and a rule for how their callers are served

A soak could not have found the incident: a link to a target treats all boxes alike, so a box could not lose its paths while its peers kept theirs. Box processes now open connections from their own loopback address, links treat single clients, and box-cut-off lets nothing pass, resets all connections, or new ones only.

--- a/dunlinnotch/lab/checker/__init__.py
+++ b/dunlinnotch/lab/checker/__init__.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from dunlinnotch.lab.checker import answers, budgets, settings, stops, work
+from dunlinnotch.lab.checker import answers, budgets, cuts, settings, stops, work
 from dunlinnotch.lab.checker.common import (
     TIMED_GUARANTEES,
     BoxStop,
+    CutOff,
     FaultWindow,
     Guarantee,
     ObservationIndex,
@@ -21,6 +22,7 @@
 __all__ = [
     "TIMED_GUARANTEES",
     "BoxStop",
+    "CutOff",
     "FaultWindow",
     "Guarantee",
     "Observations",
@@ -28,7 +30,7 @@
     "find_violations",
 ]
 
-_CHECKS = (answers.check, work.check, settings.check, stops.check, budgets.check)
+_CHECKS = (answers.check, work.check, settings.check, stops.check, budgets.check, cuts.check)
 
 
 def find_violations(observations: Observations) -> list[Violation]:
--- a/dunlinnotch/lab/checker/common.py
+++ b/dunlinnotch/lab/checker/common.py
@@ -73,6 +73,8 @@
     PROBE_BUDGET = "probe-budget"
     #: Callers are served again after the last fault.
     RECOVERY = "recovery"
+    #: Callers of boxes that lost the path to all targets are served like those of others.
+    CUT_OFF = "cut-off"
 
 
 #: Guarantees with a time limit: on an overloaded machine they may be violated by the machine.
@@ -88,6 +90,7 @@
         Guarantee.TIME_LIMIT,
         Guarantee.PROBE_BUDGET,
         Guarantee.RECOVERY,
+        Guarantee.CUT_OFF,
     }
 )
 
@@ -140,6 +143,23 @@
     not_ready_at: Seconds = math.inf
 
 
+@dataclass(slots=True)
+class CutOff:
+    """Boxes that lost the path to all targets; times in monotonic seconds.
+
+    Parameters
+    ----------
+    boxes : frozenset of str
+        Addresses at which callers reach them.
+    start, end : float
+        ``end`` is infinite until the path is back.
+    """
+
+    boxes: frozenset[Address]
+    start: Seconds
+    end: Seconds = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Observations:
     """What callers and targets observed in a scenario; times in monotonic seconds.
@@ -161,6 +181,7 @@
     abandoned : sequence of AttemptRecord
         Attempts of slow requests whose callers disconnect before the answer.
     stops : sequence of BoxStop
+    cuts : sequence of CutOff
     """
 
     scenario: Scenario
@@ -173,6 +194,7 @@
     crashing: Sequence[AttemptRecord] = ()
     abandoned: Sequence[AttemptRecord] = ()
     stops: Sequence[BoxStop] = ()
+    cuts: Sequence[CutOff] = ()
 
 
 class ObservationIndex:
--- a/dunlinnotch/lab/faults.py
+++ b/dunlinnotch/lab/faults.py
@@ -8,7 +8,7 @@
 import signal
 from typing import TYPE_CHECKING, TypeVar
 
-from dunlinnotch.lab.checker import BoxStop, FaultWindow
+from dunlinnotch.lab.checker import BoxStop, CutOff, FaultWindow
 from dunlinnotch.lab.fleet import CRASH_SEGMENT, HOST, LONG_WORK_SEGMENT, path_prefix
 from dunlinnotch.lab.link import LinkState
 from dunlinnotch.lab.scenario import FaultKind
@@ -38,6 +38,8 @@
 #: rows are written again.
 _MAX_RESTORE_OUTAGE_S, _MAX_REWRITE_DELAY_S = 1.5, 1.5
 _STOP_INTERVAL_S = 1.0
+#: How links treat boxes that are cut off, by the strength of the fault.
+_CUT_STATES = (LinkState.SILENT, LinkState.RESET, LinkState.RESET_NEW)
 #: Time after which a box that was killed is started again.
 _RESTART_DELAY_S = 0.2
 
@@ -61,6 +63,8 @@
         Attempts whose callers disconnect before the answer.
     stops : list of BoxStop
         Boxes that were told to stop.
+    cuts : list of CutOff
+        Boxes that lost the path to all targets.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -72,6 +76,7 @@
         self.crashing_attempts: list[AttemptRecord] = []
         self.abandoned_attempts: list[AttemptRecord] = []
         self.stops: list[BoxStop] = []
+        self.cuts: list[CutOff] = []
         self._handlers: dict[FaultKind, Callable[[FaultPlan], Coroutine[None, None, None]]] = {
             FaultKind.BURST: self._increase_load,
             FaultKind.TARGET_SLOW: self._slow_targets,
@@ -92,6 +97,7 @@
             FaultKind.BOX_RESTARTS: self._restart_boxes,
             FaultKind.BOX_FREEZE: self._freeze_boxes,
             FaultKind.BOX_STOP: self._stop_boxes,
+            FaultKind.BOX_CUT_OFF: self._cut_off_boxes,
             FaultKind.STORE_DOWN: self._fail_store,
             FaultKind.STORE_SLOW: self._slow_store,
             FaultKind.STORE_SILENT: self._break_store_links,
@@ -264,6 +270,16 @@
 
     # Boxes
 
+    async def _cut_off_boxes(self, plan: FaultPlan) -> None:
+        boxes = self._sample_boxes(plan)
+        state = _CUT_STATES[min(int(plan.x), len(_CUT_STATES) - 1)]
+        cut_off = CutOff(frozenset(box.caller_address for box in boxes), self._loop.time())
+        self.cuts.append(cut_off)
+        self._fleet.cut_paths({box.ip: state for box in boxes})
+        await asyncio.sleep(plan.for_s)
+        self._fleet.cut_paths({box.ip: LinkState.PASS for box in boxes})
+        cut_off.end = self._loop.time()
+
     async def _kill_boxes(self, plan: FaultPlan) -> None:
         boxes = self._sample_boxes(plan)
         for box in boxes:
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -15,9 +15,10 @@
 from dunlinnotch.standins.users.worker import WorkerSettings, WorkerStandin
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
     from pathlib import Path
 
+    from dunlinnotch.lab.link import LinkState
     from dunlinnotch.lab.scenario import KindPlan, Scenario, ServicePlan
     from dunlinnotch.types import Address, Seconds
 
@@ -82,6 +83,7 @@
         self.boxes: list[BoxProcess] = []
         self.store_links: dict[str, FaultyLink] = {}
         self.targets: list[Target] = []
+        self._path_states: dict[str, LinkState] = {}
         self.terminated: list[Target] = []
         self.service_by_kind: dict[str, str] = {kind.name: kind.service for kind in scenario.kinds}
         self.route_changes: dict[str, list[tuple[Seconds, str]]] = {
@@ -163,6 +165,19 @@
 
     # Targets
 
+    def cut_paths(self, states: Mapping[str, LinkState]) -> None:
+        """Change how the links to all targets, also to later ones, treat some boxes.
+
+        Parameters
+        ----------
+        states : mapping of str to LinkState
+            By the IP address of a box.
+        """
+        self._path_states.update(states)
+        for target in self.targets:
+            for ip, state in states.items():
+                target.link.set_client_state(ip, state)
+
     async def add_target(self, service: ServicePlan, place: str) -> Target:
         """Start a target and write its row to the store."""
         settings = WorkerSettings(
@@ -176,6 +191,8 @@
         await worker.start()
         target = Target(worker, FaultyLink(worker.address), service.name, place)
         await target.link.start()
+        for ip, state in self._path_states.items():
+            target.link.set_client_state(ip, state)
         self.targets.append(target)
         self._write_row(target, "ready")
         self._background_tasks.add(asyncio.create_task(self._replace_crashed(target, service)))
--- a/dunlinnotch/lab/generate.py
+++ b/dunlinnotch/lab/generate.py
@@ -37,6 +37,7 @@
     FaultKind.STORE_BACK: _Ranges(x=(0.5, 6.0)),
     FaultKind.DEADLY_REQUEST: _Ranges(x=(2.0, 8.0)),
     FaultKind.CALLER_LEAVES: _Ranges(x=(2.0, 6.0)),
+    FaultKind.BOX_CUT_OFF: _Ranges(for_s=(5.0, 8.0), x=(0.0, 2.99)),
     FaultKind.BOX_RESTARTS: _Ranges((1.0, 2.0), (8.0, 9.0), (0.7, 1.0), (0.8, 1.4)),
 }
 #: Faults that show a weakness only together with another: boxes that start again may retry
--- a/dunlinnotch/lab/link.py
+++ b/dunlinnotch/lab/link.py
@@ -21,6 +21,8 @@
     SILENT = "silent"
     #: Open and new connections are reset.
     RESET = "reset"
+    #: Open connections pass bytes, and new ones are reset.
+    RESET_NEW = "reset-new"
 
 
 class FaultyLink:
@@ -41,10 +43,11 @@
     def __init__(self, target: Address) -> None:
         self._target = target
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        #: Both ends of each connection, with the IP address of its client.
+        self._writers: dict[asyncio.StreamWriter, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._forwarding = asyncio.Event()
-        self._forwarding.set()
+        self._changed = asyncio.Event()
+        self._client_states: dict[str, LinkState] = {}
         self.state = LinkState.PASS
         self.address = ""
 
@@ -69,41 +72,70 @@
         self.state = state
         if state is LinkState.RESET:
             self._abort_connections()
-        if state is LinkState.SILENT:
-            self._forwarding.clear()
-        else:
-            self._forwarding.set()
+        self._wake()
+
+    def set_client_state(self, ip: str, state: LinkState) -> None:
+        """Change how the link treats the connections of one client.
+
+        Parameters
+        ----------
+        ip : str
+            IP address from which the client connects.
+        state : LinkState
+            Holds besides the state for all clients, if that is worse.
+        """
+        self._client_states[ip] = state
+        if state is LinkState.RESET:
+            self._abort_connections(ip)
+        self._wake()
 
-    def _abort_connections(self) -> None:
-        for writer in list(self._writers):
-            writer.transport.abort()
+    def _state_for(self, ip: str) -> LinkState:
+        if self.state is not LinkState.PASS:
+            return self.state
+        return self._client_states.get(ip, LinkState.PASS)
+
+    def _abort_connections(self, ip: str | None = None) -> None:
+        for writer, client in list(self._writers.items()):
+            if ip is None or client == ip:
+                writer.transport.abort()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _wait_until_passing(self, ip: str) -> None:
+        while self._state_for(ip) is LinkState.SILENT:
+            await self._changed.wait()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
+        ip = str(writer.get_extra_info("peername")[0])
         self._tasks.add(task)
-        self._writers.add(writer)
+        self._writers[writer] = ip
         try:
-            if self.state is LinkState.RESET:
+            if self._state_for(ip) in (LinkState.RESET, LinkState.RESET_NEW):
                 writer.transport.abort()
             else:
-                await self._forward(reader, writer)
+                await self._forward(reader, writer, ip)
         except (OSError, asyncio.CancelledError):
             # A broken connection on one side must appear as broken on the other.
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
-            self._writers.discard(writer)
+            self._writers.pop(writer, None)
             writer.close()
 
-    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await self._forwarding.wait()
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ip: str
+    ) -> None:
+        await self._wait_until_passing(ip)
         host, _, port = self._target.rpartition(":")
         target_reader, target_writer = await asyncio.open_connection(host, int(port))
-        self._writers.add(target_writer)
+        self._writers[target_writer] = ip
         copies = {
-            asyncio.ensure_future(self._copy(reader, target_writer)),
-            asyncio.ensure_future(self._copy(target_reader, writer)),
+            asyncio.ensure_future(self._copy(reader, target_writer, ip)),
+            asyncio.ensure_future(self._copy(target_reader, writer, ip)),
         }
         try:
             # A half-closed connection may still receive its answer; an error closes both.
@@ -112,15 +144,17 @@
             for copy in copies:
                 copy.cancel()
             await asyncio.gather(*copies, return_exceptions=True)
-            self._writers.discard(target_writer)
+            self._writers.pop(target_writer, None)
             with contextlib.suppress(OSError):
                 target_writer.close()
 
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ip: str
+    ) -> None:
         while data := await reader.read(_CHUNK_BYTES):
-            await self._forwarding.wait()
+            await self._wait_until_passing(ip)
             writer.write(data)
             await writer.drain()
-        await self._forwarding.wait()
+        await self._wait_until_passing(ip)
         if writer.can_write_eof() and not writer.is_closing():
             writer.write_eof()
--- a/dunlinnotch/lab/run.py
+++ b/dunlinnotch/lab/run.py
@@ -162,6 +162,7 @@
             crashing=injector.crashing_attempts,
             abandoned=injector.abandoned_attempts,
             stops=injector.stops,
+            cuts=injector.cuts,
         )
         return summarise(
             observations,
--- a/dunlinnotch/lab/scenario.py
+++ b/dunlinnotch/lab/scenario.py
@@ -59,6 +59,9 @@
     BOX_FREEZE = "box-freeze"
     #: Boxes are told to stop (SIGTERM) and restarted, one after the other.
     BOX_STOP = "box-stop"
+    #: Boxes lose the path to all targets, while callers, the store and other boxes reach them:
+    #: nothing passes (``x`` below 1), connections are reset (below 2), or new ones alone are.
+    BOX_CUT_OFF = "box-cut-off"
     #: The store refuses every call.
     STORE_DOWN = "store-down"
     #: Links from boxes to the store forward no bytes.
--- a/dunlinnotch/standins/users/box.py
+++ b/dunlinnotch/standins/users/box.py
@@ -24,6 +24,8 @@
 _REQUEST_TIMEOUT_S = 5.0
 _CALLER_PORT, _READY_PORT, _CONTROL_PORT, _DIRECTORY_PORT = 8144, 8140, 8146, 8143
 _METRICS_PORT = 9464
+#: Module that runs a box's module with connections from the address of the box.
+_LAUNCHER = "dunlinnotch.standins.users.own_address"
 
 
 class BoxProcess:
@@ -104,7 +106,7 @@
         environment = {**os.environ, "DUNLINNOTCH_NODE_FILE": str(self.settings_file)}
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", self.module],
+                [sys.executable, "-m", _LAUNCHER, self.ip, self.module],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
