--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -24,6 +24,7 @@
 from dunlinnotch.coordination.choosing.selector import TargetSelector
 from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.forward import Forwarder
+from dunlinnotch.coordination.requests.target_attempts import TargetAttempts
 from dunlinnotch.protocol.outcome import Reason
 from dunlinnotch.protocol.relay import Answered, Broken, CallerRequest, NotRun, ProbeResult
 from dunlinnotch.state.crashes import CrashLog
@@ -41,6 +42,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Sequence
 
+    from dunlinnotch.coordination.requests.run import Ending
     from dunlinnotch.protocol.relay import AttemptEnd
 
 BOXES = 17
@@ -247,6 +249,21 @@
         """Do nothing."""
 
 
+class NoPeerPath:
+    """A way over peers that is never needed, as all targets are reached."""
+
+    def choose(self, service: str, *, tried: set[str]) -> None:
+        """Return None."""
+
+    def is_hopeless(self, run: object) -> bool:
+        """Return False: all targets are reached."""
+        return False
+
+    async def attempt(self, *_: object, **__: object) -> Ending:
+        """Never called."""
+        raise AssertionError
+
+
 class NullObserver:
     """An observer that records nothing."""
 
@@ -338,18 +355,24 @@
             log=logging.getLogger("benchmarks"),
         )
         table = self._make_table()
+        guard = CrashGuard(CrashLog(clock=clock), targets, publish=lambda _: None)
         return Forwarder(
             routes=lambda: table,
             settings_age=lambda: 0.0,
             catching_up=lambda: False,
-            instances=instances,
-            chooser=chooser,
-            latency_model=latency_model,
+            attempts=TargetAttempts(
+                instances=instances,
+                chooser=chooser,
+                latency_model=latency_model,
+                selector=selector,
+                guard=guard,
+                targets=targets,
+            ),
+            peer_path=NoPeerPath(),
             selector=selector,
             retry_ratio=0.2,
             saved_retries=1.0,
-            guard=CrashGuard(CrashLog(clock=clock), targets, publish=lambda _: None),
-            targets=targets,
+            guard=guard,
             observer=NullObserver(),
             rng=rng,
         )
--- a/dunlinnotch/coordination/choosing/reach.py
+++ b/dunlinnotch/coordination/choosing/reach.py
@@ -35,8 +35,9 @@
 
     Notes
     -----
-    A target counts as unreached from a connection that could not be opened until one is
-    opened or a byte arrives from it, also on a connection opened earlier.
+    A target counts as unreached, from a connection that could not be opened or a probe that
+    was not answered, until a byte arrives from it on any connection.  An open connection alone
+    proves nothing: something on the way may accept it.
     """
 
     def __init__(self, instances: InstanceList, *, clock: Clock) -> None:
@@ -47,12 +48,14 @@
         #: Services that were cut off at the last :meth:`update`.
         self.cut_off: frozenset[str] = frozenset()
 
-    def record_contact(self, address: Address, reached: bool) -> None:
-        """Record that a target was heard, or that no connection to it could be opened."""
-        if reached:
-            self._reached_at[address] = self._clock()
-            self._unreached_since.pop(address, None)
-        else:
+    def record_heard(self, address: Address) -> None:
+        """Record that bytes arrived from a target."""
+        self._reached_at[address] = self._clock()
+        self._unreached_since.pop(address, None)
+
+    def record_unreached(self, address: Address, since: Seconds) -> None:
+        """Record that a target could not be reached, unless it was heard meanwhile."""
+        if self._reached_at.get(address, float("-inf")) < since:
             self._unreached_since.setdefault(address, self._clock())
 
     def is_cut_off(self, service: str) -> bool:
--- a/dunlinnotch/coordination/choosing/selector.py
+++ b/dunlinnotch/coordination/choosing/selector.py
@@ -149,6 +149,14 @@
         if selection.probe is not None:
             self._targets.release(instance.address, selection.probe)
 
+    async def probe_now(self, instance: Instance) -> None:
+        """Probe a target although no request waits, if its probe budget allows it."""
+        path = self._probe_path(instance.listed.service)
+        queue = self._queue(instance.listed.service)
+        if path and instance not in queue.probing and self._probes.try_spend(instance.name):
+            queue.probing.add(instance)
+            await self._probe(queue, instance, path)
+
     def record_status(self, instance: Instance, status: TargetStatus) -> None:
         """Record the status that came with a target's answer, and offer the target to the queue."""
         self._apply_notices(instance, status)
--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -9,7 +9,7 @@
 
 import logging
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from dunlinnotch._logs import event
@@ -21,6 +21,7 @@
     import random
     from collections.abc import Iterable
 
+    from dunlinnotch.protocol.mesh import ForwardingState
     from dunlinnotch.state.table_replica import TableReplica
     from dunlinnotch.types import Address, Clock, Seconds
 
@@ -78,6 +79,8 @@
         Requests in flight at this box.
     crash_digest : int or None
         Digest of this box's crash records; ``None`` until it has those of its peers.
+    forwarding : ForwardingState or None
+        How this box takes requests of peers; ``None`` if it takes none.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.reading = True
         self.in_flight = 0
         self.crash_digest: int | None = None
+        self.forwarding: ForwardingState | None = None
         self.peer = peer
         self._incarnation = incarnation
         self._caller = caller
@@ -138,6 +142,7 @@
             tables=tables,
             reply_requested=reply_requested,
             crash_digest=self.crash_digest,
+            forwarding=self.forwarding,
         )
 
     def receive(self, heartbeat: Heartbeat) -> bool:
@@ -162,6 +167,7 @@
             )
         if previous is not None and previous.silent:
             event(_log, "box-heard-again", box=heartbeat.name, silent_s=round(now - previous.at, 2))
+        heartbeat = _with_known_forwarding(heartbeat, previous)
         self._known_counts[heartbeat.place] += previous is None
         self._received[heartbeat.name] = _Received(heartbeat, now)
         self._update_box_counts(heartbeat)
@@ -354,6 +360,16 @@
             return float("inf")
         return self._clock() - table.verified_at
 
+    def forwarding_peers(self, service: str) -> list[Heartbeat]:
+        """Return the live boxes that take requests from peers and reach a service's targets."""
+        return [
+            heartbeat
+            for heartbeat in self.live()
+            if heartbeat.state == RUNNING
+            and heartbeat.forwarding is not None
+            and service not in heartbeat.forwarding.unreached
+        ]
+
     def offered_addresses(self, place: str) -> list[Address]:
         """Return the addresses of running boxes for a caller, of ``place`` alone if enough.
 
@@ -388,3 +404,15 @@
         """Return whether this box knows more than half of the boxes of a place as live."""
         live = sum(heartbeat.place == place for heartbeat in self.live())
         return live * 2 > self._box_counts.get(place, 0)
+
+
+def _with_known_forwarding(heartbeat: Heartbeat, previous: _Received | None) -> Heartbeat:
+    """Return a heartbeat with what is known of how its box takes requests of peers.
+
+    Boxes of an earlier version drop this field when they forward a heartbeat.
+    """
+    if heartbeat.forwarding is not None or previous is None:
+        return heartbeat
+    if previous.heartbeat.incarnation != heartbeat.incarnation:
+        return heartbeat
+    return replace(heartbeat, forwarding=previous.heartbeat.forwarding)
--- a/dunlinnotch/coordination/requests/bodies.py
+++ b/dunlinnotch/coordination/requests/bodies.py
@@ -7,6 +7,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+#: Request bodies up to this size are buffered, so that they can be sent again.
+MAX_BUFFERED_REQUEST_BYTES = 256 * 1024
+
 
 class BufferedBody:
     """A request's body, which can be sent again if all of it is buffered.
--- a/dunlinnotch/coordination/requests/crash_guard.py
+++ b/dunlinnotch/coordination/requests/crash_guard.py
@@ -76,6 +76,11 @@
         self._publish = publish
         self.targets_crashed = 0
 
+    @property
+    def now(self) -> Seconds:
+        """Time by the clock of crash records, in seconds."""
+        return self._crash_log.now
+
     def quarantine_left(self, tracked: TrackedRequest) -> Seconds:
         """Return the seconds for which a request stays quarantined; 0 if it may be sent."""
         if not tracked.crashed:
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -9,46 +9,38 @@
 
 import asyncio
 import logging
-import math
 from typing import TYPE_CHECKING, Protocol
 
-from dunlinnotch._logs import event
 from dunlinnotch.coordination.budgets.retries import RetryBudget
-from dunlinnotch.coordination.choosing.fresh_reports import MAX_GOOD_RATIO
-from dunlinnotch.coordination.requests.bodies import BufferedBody
+from dunlinnotch.coordination.requests.bodies import MAX_BUFFERED_REQUEST_BYTES, BufferedBody
 from dunlinnotch.coordination.requests.crash_guard import TrackedRequest
 from dunlinnotch.coordination.requests.fingerprint import fingerprint
 from dunlinnotch.coordination.requests.first_attempts import FirstAttempts
-from dunlinnotch.coordination.requests.run import Attempt, Ending, Run
+from dunlinnotch.coordination.requests.run import Ending, Run
+from dunlinnotch.coordination.requests.target_attempts import QUEUE_LATENCY_FRACTION
 from dunlinnotch.protocol.attempt import BodyCutError, CallerGoneError
 from dunlinnotch.protocol.outcome import Outcome, Reason
-from dunlinnotch.protocol.relay import Answered, Broken, NotRun, NotSent
 from dunlinnotch.state.heads import Header
 
 if TYPE_CHECKING:
     import random
     from collections.abc import AsyncIterator, Callable
 
-    from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
-    from dunlinnotch.coordination.choosing.latency_model import LatencyModel
     from dunlinnotch.coordination.choosing.selector import TargetSelector
     from dunlinnotch.coordination.choosing.waiting import Selection
     from dunlinnotch.coordination.requests.crash_guard import CrashGuard
-    from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, ReplyPort, TargetPort
-    from dunlinnotch.state.instances import Instance, InstanceList
+    from dunlinnotch.coordination.requests.target_attempts import TargetAttempts
+    from dunlinnotch.protocol.mesh import Heartbeat
+    from dunlinnotch.protocol.relay import CallerRequest, ReplyPort
     from dunlinnotch.state.routes import RequestKind, RouteTable
-    from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Seconds
 
-#: Request bodies up to this size are buffered, so that they can be sent again.
-_MAX_BUFFERED_REQUEST_BYTES = 256 * 1024
-#: Answers up to this size are read completely before their head is relayed, so that an
-#: answer that breaks off can still be retried or replaced by an error.
-_MAX_BUFFERED_ANSWER_BYTES = 64 * 1024
-#: Part of the target latency that a request may spend in the queue for a target.
-_QUEUE_LATENCY_FRACTION = 0.2
 _MIN_RETRY_DELAY_S = 0.05
 _RETRY_DELAY_WITHOUT_SETTINGS_S = 0.3
+#: Reasons of selections that are made because no target was good in time.
+_SELECTED_LAST = ("best", "unasked")
+#: Result of an attempt that was not made, because what it was based on has changed.
+_CHOOSE_AGAIN = Ending(Outcome.NOT_RUN, 503)
 
 _log = logging.getLogger(__name__)
 
@@ -71,6 +63,21 @@
         """
 
 
+class PeerAttempts(Protocol):
+    """Makes attempts through peers, see :class:`~.peer_path.PeerPath`."""
+
+    def choose(self, service: str, *, tried: set[str]) -> Heartbeat | None:
+        """Return the peer to pass a request to, or None to look for a target from here."""
+
+    def is_hopeless(self, run: Run) -> bool:
+        """Return whether neither this box nor a peer reaches the targets of a request."""
+
+    async def attempt(
+        self, run: Run, kind: RequestKind, peer: Heartbeat, *, may_send: Callable[[], bool]
+    ) -> Ending:
+        """Have a peer make one attempt, and relay an answer to the caller."""
+
+
 class Forwarder:
     """Forward requests of callers to targets.
 
@@ -82,16 +89,14 @@
         Returns the seconds since the settings were last confirmed to be the newest.
     catching_up : callable
         Returns whether the process was paused and its view is not yet current again.
-    instances : InstanceList
-    chooser : FreshReportChooser
-    latency_model : LatencyModel
+    attempts : TargetAttempts
+    peer_path : PeerAttempts
     selector : TargetSelector
     retry_ratio : float
         Retries that each request of a service allows.
     saved_retries : float
         Maximum number of unspent retries that are kept for each service.
     guard : CrashGuard
-    targets : TargetPort
     observer : ForwardObserver
     rng : random.Random
     """
@@ -102,45 +107,42 @@
         routes: Callable[[], RouteTable | None],
         settings_age: Callable[[], Seconds],
         catching_up: Callable[[], bool],
-        instances: InstanceList,
-        chooser: FreshReportChooser,
-        latency_model: LatencyModel,
+        attempts: TargetAttempts,
+        peer_path: PeerAttempts,
         selector: TargetSelector,
         retry_ratio: float,
         saved_retries: float,
         guard: CrashGuard,
-        targets: TargetPort,
         observer: ForwardObserver,
         rng: random.Random,
     ) -> None:
         self._routes = routes
         self._settings_age = settings_age
         self._catching_up = catching_up
-        self._instances = instances
-        self._chooser = chooser
-        self._latency_model = latency_model
+        self._attempts = attempts
+        self._peer_path = peer_path
         self._selector = selector
         self._retry_ratio = retry_ratio
         #: Maximum number of unspent retries kept for each service.
         self.saved_retries = saved_retries
         self._guard = guard
-        self._targets = targets
         self._observer = observer
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._split_points: dict[str, float] = {}
         self._first_attempts = FirstAttempts()
-        self._running: set[Run] = set()
+        #: Requests in progress, also those that are served for peers.
+        self.running: set[Run] = set()
 
     @property
     def in_flight(self) -> int:
         """Number of requests in progress."""
-        return len(self._running)
+        return len(self.running)
 
     def cancel_all(self) -> None:
         """Answer every request in progress now, because the box is stopping."""
-        for run in self._running:
+        for run in self.running:
             run.stopping = True
             if run.timeout_scope is not None:
                 run.timeout_scope.reschedule(self._loop.time())
@@ -188,14 +190,14 @@
         run = Run(
             request, BufferedBody(parts), reply, split_point=0.0, first_attempt_at=request.arrived
         )
-        self._running.add(run)
+        self.running.add(run)
         try:
             ending = await self._match_and_attempt(run)
         except asyncio.CancelledError:
             self._end(run, Ending(Outcome.UNKNOWN, 0, Reason.CALLER_GONE, "the caller left"))
             raise
         finally:
-            self._running.discard(run)
+            self.running.discard(run)
         self._end(run, ending)
         return ending
 
@@ -220,7 +222,7 @@
         ending: Ending | None = None
         try:
             async with asyncio.timeout_at(timeout_at) as run.timeout_scope:
-                await run.body.buffer(_MAX_BUFFERED_REQUEST_BYTES)
+                await run.body.buffer(MAX_BUFFERED_REQUEST_BYTES)
                 run.tracked = TrackedRequest(fingerprint(request, run.body.buffered))
                 ending = await self._attempt_until_settled(run)
         except TimeoutError:
@@ -295,7 +297,7 @@
         without_settings = ending.reason in (Reason.NO_SETTINGS, Reason.CATCHING_UP)
         delay = _RETRY_DELAY_WITHOUT_SETTINGS_S if without_settings else _MIN_RETRY_DELAY_S
         if run.kind is not None:
-            delay += run.kind.target_latency * _QUEUE_LATENCY_FRACTION * self._rng.random()
+            delay += run.kind.target_latency * QUEUE_LATENCY_FRACTION * self._rng.random()
         return backoff + delay
 
     async def _attempt_until_settled(self, run: Run) -> Ending:
@@ -310,21 +312,54 @@
             if not run.counted_in_budget:
                 run.counted_in_budget = True
                 self.retry_budget(service).record_first_attempt()
-            selection = await self._choose(run, kind, service)
-            if selection is None:
-                return last_failure or self._no_target_refusal(run, service)
-            if not self._selection_holds(run, selection):
-                self._selector.release(selection)
+            peer = self._peer_path.choose(service, tried=run.tried_peers)
+            if peer is not None:
+                ending = await self._attempt_through(run, kind, peer)
+            else:
+                ending = await self._attempt_from_here(run, kind)
+            if ending is _CHOOSE_AGAIN:
                 continue
-            if run.sends and not self.retry_budget(service).try_spend():
-                self._selector.release(selection)
-                return last_failure or self._no_target_refusal(run, service)
-            end = await self._attempt(run, kind, selection)
-            ending = await self._handle_result(run, kind, selection.instance, end)
+            if ending is None:
+                return last_failure or self._attempts.no_target_refusal(service)
             if ending.outcome is Outcome.ANSWERED or not self._may_retry(run, kind, ending):
                 return ending
             last_failure = ending
 
+    async def _attempt_through(self, run: Run, kind: RequestKind, peer: Heartbeat) -> Ending | None:
+        """Have a peer make an attempt; return None if the retry budget forbids it."""
+        if run.sends and not self.retry_budget(run.service).try_spend():
+            return None
+        return await self._peer_path.attempt(
+            run, kind, peer, may_send=lambda: self._service_holds(run, run.service)
+        )
+
+    async def _attempt_from_here(self, run: Run, kind: RequestKind) -> Ending | None:
+        """Make an attempt at a target; return None if no target is free in time."""
+        selection = await self._attempts.choose(run, kind, run.service)
+        if selection is None or selection.reason in _SELECTED_LAST:
+            # The box may have lost the path while the request waited.
+            if self._peer_path.choose(run.service, tried=run.tried_peers) is not None:
+                if selection is not None:
+                    self._selector.release(selection)
+                return _CHOOSE_AGAIN
+            if selection is None:
+                return None
+        if not self._selection_holds(run, selection):
+            self._selector.release(selection)
+            return _CHOOSE_AGAIN
+        budget = self.retry_budget(run.service)
+        if run.sends and not budget.try_spend():
+            self._selector.release(selection)
+            return None
+        end = await self._attempts.attempt(
+            run,
+            kind,
+            selection,
+            may_send=lambda: self._selection_holds(run, selection),
+            retries_left=budget.left,
+        )
+        return await self._attempts.handle_end(run, kind, selection.instance, end)
+
     def _quarantine_refusal(self, run: Run) -> Ending | None:
         """Return the refusal if the request is quarantined, else None."""
         delay = self._guard.quarantine_left(run.tracked)
@@ -338,165 +373,24 @@
 
         Settings, targets and crash reports may have changed since it was made.
         """
+        instance = selection.instance
+        if instance.removed or self._loop.time() < instance.backoff_until:
+            return False
+        return self._service_holds(run, instance.listed.service)
+
+    def _service_holds(self, run: Run, service: str) -> bool:
+        """Return whether the request may still be sent to a service."""
         if self._catching_up():
             return False
         table = self._routes()
         kind = None if table is None else table.match(run.request.host, run.request.path)
-        if kind is None or kind.service_at(run.split_point) != selection.instance.listed.service:
-            return False
-        instance = selection.instance
-        if instance.removed or self._loop.time() < instance.backoff_until:
+        if kind is None or kind.service_at(run.split_point) != service:
             return False
         return self._quarantine_refusal(run) is None
 
-    def _no_target_refusal(self, run: Run, service: str) -> Ending:
-        if not self._instances.for_service(service):
-            detail = f"service {service!r} has no target"
-            return Ending(Outcome.NOT_RUN, 503, Reason.NO_TARGET, detail)
-        if self._selector.backoff_left(service):
-            detail = f"all targets of service {service!r} requested back-off"
-            return Ending(Outcome.NOT_RUN, 503, Reason.TARGETS_RESTING, detail)
-        return Ending(Outcome.NOT_RUN, 503, Reason.QUEUE_FULL, "no target is free in time")
-
     def _may_retry(self, run: Run, kind: RequestKind, ended: Ending) -> bool:
         if run.reply.begun or run.sends >= kind.attempts or not run.body.resendable:
             return False
-        return kind.idempotent or not run.may_have_run
-
-    async def _attempt(self, run: Run, kind: RequestKind, selection: Selection) -> AttemptEnd:
-        instance = selection.instance
-        now = self._loop.time()
-        request = run.request
-        remaining = min(request.deadline, request.arrived + kind.timeout) - now
-        retries_left = self.retry_budget(run.service).left
-        attempt = Attempt(selection, began=now, retries_left=retries_left)
-        run.attempts.append(attempt)
-        run.tried_instances.add(instance.name)
-        run.sends += 1
-        run.may_have_run = True
-        instance.in_flight += 1
-        try:
-            end = await self._targets.attempt(
-                instance.address,
-                request,
-                run.body,
-                remaining=remaining,
-                instance=instance.name,
-                may_send=lambda: self._selection_holds(run, selection),
-                on_status=lambda status: self._record_status(attempt, status),
-                probe_result=selection.probe,
-                at_most_once=not kind.idempotent,
-            )
-            attempt.result = type(end).__name__
-            if isinstance(end, NotRun | Broken):
-                attempt.status = end.status
-            return end
-        finally:
-            instance.in_flight -= 1
-            attempt.took = self._loop.time() - now
-
-    def _record_status(self, attempt: Attempt, status: TargetStatus) -> None:
-        """Record the status that a target reported in its answer."""
-        attempt.target_status = status
-        self._selector.record_status(attempt.selection.instance, status)
-
-    async def _handle_result(
-        self, run: Run, kind: RequestKind, instance: Instance, end: AttemptEnd
-    ) -> Ending:
-        now = self._loop.time()
-        if isinstance(end, Answered):
-            return await self._relay(run, kind, instance, end)
-        if isinstance(end, NotSent):
-            run.sends -= 1
-            run.may_have_run = run.earlier_attempt_may_have_run
-            self._chooser.record_failure(instance, now)
-            return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
-        if isinstance(end, NotRun):
-            run.may_have_run = run.earlier_attempt_may_have_run
-            if end.wrong_target:
-                self._instances.remove(instance.name)
-                event(_log, "target-replaced", instance=instance.name, target=instance.address)
-            else:
-                self._chooser.record_refusal(instance, run.attempts[-1].target_status, now)
-            detail = f"the target refused with status {end.status}"
-            return Ending(Outcome.NOT_RUN, 503, Reason.TARGET_REFUSED, detail)
-        if end.reason is not Reason.BODY_BROKEN:
-            self._chooser.record_failure(instance, now)
-            await self._check_for_crash(run, instance)
-        return Ending(Outcome.UNKNOWN, 502, end.reason, end.detail)
-
-    async def _check_for_crash(self, run: Run, instance: Instance) -> None:
-        """Let the crash guard check whether the target of the last attempt has crashed."""
-        took = self._loop.time() - run.attempts[-1].began
-        await self._guard.check_target(run.tracked, run.request, instance, took=took)
-
-    async def _relay(
-        self, run: Run, kind: RequestKind, instance: Instance, answered: Answered
-    ) -> Ending:
-        """Relay an answer; one that breaks off never ends cleanly for the caller."""
-        answer = answered.answer
-        head = answer.head
-        failed = head.status >= 500
-        try:
-            buffered_body = await answer.read_complete(_MAX_BUFFERED_ANSWER_BYTES)
-            if failed:
-                self._chooser.record_failure(instance, self._loop.time())
-                if self._should_retry_failure(run, kind):
-                    detail = f"the target failed with status {head.status}"
-                    return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, detail)
-            else:
-                self._chooser.record_success(instance)
-            if buffered_body is not None:
-                run.reply.reply(head.status, head.headers, buffered_body, head.phrase)
-            else:
-                run.reply.begin(head.status, head.headers, length=head.length, phrase=head.phrase)
-                async for part in answer.parts():
-                    await run.reply.send(part)
-                run.reply.finish()
-            if not failed:
-                # Failed answers are left out: they are fast and would lower the usual latency.
-                took = self._loop.time() - run.attempts[-1].began
-                self._latency_model.record(
-                    kind.name, run.service, run.attempts[-1].selection.load_at_send, took
-                )
-            return Ending(Outcome.ANSWERED, head.status)
-        except BodyCutError as error:
-            self._chooser.record_failure(instance, self._loop.time())
-            run.attempts[-1].result = "cut"
-            await self._check_for_crash(run, instance)
-            return Ending(Outcome.UNKNOWN, 502, Reason.TARGET_BROKEN, str(error))
-        finally:
-            run.attempts[-1].took = self._loop.time() - run.attempts[-1].began
-            answer.close()
-
-    def _should_retry_failure(self, run: Run, kind: RequestKind) -> bool:
-        if not kind.idempotent or run.sends >= kind.attempts or not run.body.resendable:
+        if ended.reason is Reason.CONNECT_FAILED and self._peer_path.is_hopeless(run):
             return False
-        others = [
-            i for i in self._instances.for_service(run.service) if i.name not in run.tried_instances
-        ]
-        return bool(others)
-
-    async def _choose(self, run: Run, kind: RequestKind, service: str) -> Selection | None:
-        """Select a target, waiting for a part of the target latency at most."""
-        queued_from = self._loop.time() if run.sends else run.request.arrived
-        # The caller's latency counts from its first attempt, not from its last retry.
-        latency_goal_at = min(run.request.deadline, run.first_attempt_at + kind.target_latency)
-        timeout_at = min(run.request.deadline, run.request.arrived + kind.timeout)
-        usual_s = self._latency_model.usual_latency(kind.name)
-        return await self._selector.choose(
-            service,
-            rank=kind.rank,
-            tried=run.tried_instances,
-            queue_deadline=queued_from + kind.target_latency * _QUEUE_LATENCY_FRACTION,
-            first_attempt_at=run.first_attempt_at,
-            start_by=math.inf if usual_s is None else latency_goal_at - MAX_GOOD_RATIO * usual_s,
-            max_ratio=self._max_latency_ratio(latency_goal_at, usual_s),
-            max_ratio_late=self._max_latency_ratio(timeout_at, usual_s),
-        )
-
-    def _max_latency_ratio(self, until: Seconds, usual_s: Seconds | None) -> float:
-        """Return the latency ratio at which a request sent now would end at ``until``."""
-        if usual_s is None:
-            return math.inf
-        return max(0.0, until - self._loop.time()) / usual_s
+        return kind.idempotent or not run.may_have_run
--- a/dunlinnotch/coordination/requests/run.py
+++ b/dunlinnotch/coordination/requests/run.py
@@ -52,9 +52,14 @@
 
     Parameters
     ----------
-    selection : Selection
     began : float
         Monotonic seconds at which the attempt started.
+    selection : Selection, optional
+        The target that this box selected; None if a peer selects it.
+    peer : str, default ""
+        Name of the box that makes the attempt, if it is not this one.
+    peer_target : str, default ""
+        Name of the target that the peer selected.
     took : float
         Duration in seconds.
     result : str
@@ -68,8 +73,10 @@
         Retries of the service that this box had left when it sent the attempt.
     """
 
-    selection: Selection
     began: Seconds
+    selection: Selection | None = None
+    peer: str = ""
+    peer_target: str = ""
     took: Seconds = 0.0
     result: str = ""
     status: int = 0
@@ -85,12 +92,7 @@
             Monotonic seconds at which the request arrived; ``began_ms`` counts from it.
         """
         return {
-            "target": self.selection.instance.name,
-            "why": self.selection.reason,
-            "expected": round(self.selection.expected_ratio, 2),
-            "ahead": self.selection.load_at_send.queued_ahead,
-            "slowness": self.selection.load_at_send.latency_ratio,
-            "report_age_ms": round(self.selection.load_at_send.report_age * 1000),
+            **self._choice_fields(),
             "began_ms": round((self.began - arrived) * 1000, 1),
             "took_ms": round(self.took * 1000, 1),
             "end": self.result,
@@ -99,6 +101,22 @@
             "retries_left": round(self.retries_left, 1),
         }
 
+    def _choice_fields(self) -> dict[str, object]:
+        """Return the fields of the target and of why it was selected."""
+        if self.selection is None:
+            # A peer's reports are in its own log; the fields remain for readers of the line.
+            unknown = {"expected": 0.0, "ahead": 0, "slowness": 0.0, "report_age_ms": 0}
+            return {"target": self.peer_target, "why": "peer", "peer": self.peer, **unknown}
+        load = self.selection.load_at_send
+        return {
+            "target": self.selection.instance.name,
+            "why": self.selection.reason,
+            "expected": round(self.selection.expected_ratio, 2),
+            "ahead": load.queued_ahead,
+            "slowness": load.latency_ratio,
+            "report_age_ms": round(load.report_age * 1000),
+        }
+
 
 @dataclass(slots=True, eq=False)
 class Run:
@@ -132,6 +150,8 @@
     attempts : list of Attempt
     tried_instances : set of str
         Names of the instances that the request has been sent to.
+    tried_peers : set of str
+        Names of the boxes that this box has passed the request to.
     """
 
     request: CallerRequest
@@ -150,6 +170,18 @@
     timeout_scope: asyncio.Timeout | None = None
     attempts: list[Attempt] = field(default_factory=list)
     tried_instances: set[str] = field(default_factory=set)
+    tried_peers: set[str] = field(default_factory=set)
+
+    def begin_attempt(self, attempt: Attempt) -> None:
+        """Count an attempt as sent, until it is known that it was not."""
+        self.attempts.append(attempt)
+        self.sends += 1
+        self.may_have_run = True
+
+    def undo_send(self) -> None:
+        """Record that the last attempt reached no target."""
+        self.sends -= 1
+        self.may_have_run = self.earlier_attempt_may_have_run
 
     @property
     def earlier_attempt_may_have_run(self) -> bool:
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 import signal
 import time
 from dataclasses import dataclass, replace
@@ -16,23 +17,30 @@
 from dunlinnotch.coordination.budgets.shares import ProbeShare, count_sharing_boxes
 from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
 from dunlinnotch.coordination.choosing.latency_model import LatencyModel
+from dunlinnotch.coordination.choosing.path_checks import PathChecks
 from dunlinnotch.coordination.choosing.reach import TargetReach
 from dunlinnotch.coordination.choosing.selector import TargetSelector
 from dunlinnotch.coordination.membership.crash_gossip import CrashGossip
 from dunlinnotch.coordination.membership.mesh import DRAINING, RUNNING, STALE_S, Mesh
 from dunlinnotch.coordination.membership.pause_detector import PauseDetector
+from dunlinnotch.coordination.requests.assist import PeerAssistant
 from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.forward import Forwarder
+from dunlinnotch.coordination.requests.peer_path import PeerPath
+from dunlinnotch.coordination.requests.target_attempts import TargetAttempts
 from dunlinnotch.coordination.settings.following import TableFollower
 from dunlinnotch.coordination.settings.store_tables import ActiveRoutes, TargetListing
 from dunlinnotch.daemon.gossip import Gossip
 from dunlinnotch.daemon.metrics_text import TextMetrics
 from dunlinnotch.daemon.stop import StopPlan
+from dunlinnotch.protocol.mesh import ForwardingState
+from dunlinnotch.protocol.peer_forward import MAX_PEER_REQUEST_BYTES
 from dunlinnotch.state.crashes import CrashLog
 from dunlinnotch.state.heads import Header
 from dunlinnotch.state.instances import InstanceList
 from dunlinnotch.state.table_replica import TableReplica
 from dunlinnotch.transport.stream.client import TargetClient
+from dunlinnotch.transport.stream.peer_client import PeerClient
 from dunlinnotch.transport.stream.server import ServerLimits, StreamServer
 
 if TYPE_CHECKING:
@@ -51,6 +59,7 @@
 _MAINTENANCE_INTERVAL_S = 0.05
 #: Connections that a target accepts from all boxes while no settings name a number.
 _DEFAULT_CONNECTIONS = 256
+_FORWARD_KEY_BYTES = 16
 
 _log = logging.getLogger(__name__)
 
@@ -76,6 +85,9 @@
     retry_slack : float
         Retries allowed beyond that ratio in any period, from all boxes together; at least
         one for each box.
+    forward_port : int, default 0
+        Port, at the IP address of ``peer``, on which the box takes requests of peers that
+        can't reach their targets; 0 to take none.
     """
 
     name: str
@@ -87,6 +99,7 @@
     probes_per_s: float
     retry_ratio: float
     retry_slack: float
+    forward_port: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,7 +205,11 @@
         self.pause_detector = PauseDetector(clock=clock, outdated=self._is_outdated)
         self.text_metrics = TextMetrics(self._gauges)
         self.reach = TargetReach(self.instances, clock=clock)
-        self._target_client = TargetClient(adapter.targets, on_contact=self.reach.record_contact)
+        self._target_client = TargetClient(
+            adapter.targets,
+            on_heard=self.reach.record_heard,
+            on_unreached=self.reach.record_unreached,
+        )
         self.crashes = CrashLog(clock=elapsed)
         self.crash_gossip = CrashGossip(
             self.crashes,
@@ -205,12 +222,24 @@
         )
         self.gossip.attach(self.crash_gossip, self.followers)
         self._crash_guard = CrashGuard(
-            self.crashes, self._target_client, publish=self.crash_gossip.publish
+            self.crashes,
+            self._target_client,
+            publish=self.crash_gossip.publish,
+        )
+        self._peer_client = PeerClient()
+        self.peer_path = PeerPath(
+            mesh=self.mesh,
+            reach=self.reach,
+            guard=self._crash_guard,
+            peers=self._peer_client,
+            rng=rng,
         )
         self.probes = ProbeShare(settings.probes_per_s, clock=clock, rng=rng, started_at=started_at)
         self.latency_model = LatencyModel()
         chooser = FreshReportChooser(
-            place=settings.place, latency_model=self.latency_model, rng=rng
+            place=settings.place,
+            latency_model=self.latency_model,
+            rng=rng,
         )
         self.selector = TargetSelector(
             instances=self.instances,
@@ -221,23 +250,44 @@
             rng=rng,
             log=_log,
         )
+        self._path_checks = PathChecks(self.reach, self.selector.probe_now)
+        attempts = TargetAttempts(
+            instances=self.instances,
+            chooser=chooser,
+            latency_model=self.latency_model,
+            selector=self.selector,
+            guard=self._crash_guard,
+            targets=self._target_client,
+        )
         self.forwarder = Forwarder(
             routes=lambda: self.routes.table,
             settings_age=lambda: self.mesh.age(self._settings_replica),
             catching_up=lambda: self.pause_detector.catching_up,
-            instances=self.instances,
-            chooser=chooser,
-            latency_model=self.latency_model,
+            attempts=attempts,
+            peer_path=self.peer_path,
             selector=self.selector,
             retry_ratio=settings.retry_ratio,
             saved_retries=0.0,
             guard=self._crash_guard,
-            targets=self._target_client,
             observer=self.text_metrics,
             rng=rng,
         )
+        forward_key = secrets.token_bytes(_FORWARD_KEY_BYTES)
+        self.assistant = PeerAssistant(
+            key=forward_key,
+            attempts=attempts,
+            selector=self.selector,
+            reach=self.reach,
+            guard=self._crash_guard,
+            running=self.forwarder.running,
+            accepts_work=lambda: self.ready,
+        )
+        if settings.forward_port:
+            self.mesh.forwarding = ForwardingState(settings.forward_port, forward_key)
         self.limits = ServerLimits()
         self._caller_server = StreamServer(self._serve, limits=self.limits)
+        self._peer_limits = ServerLimits()
+        self._peer_server = StreamServer(self._serve_peer, limits=self._peer_limits)
         self._servers: list[StreamServer] = []
         self._max_connections = _DEFAULT_CONNECTIONS
         self._tasks: set[asyncio.Task[None]] = set()
@@ -250,6 +300,9 @@
             self._loop.add_signal_handler(signal_number, self._stop_requested.set)
         await self._caller_server.listen(self._settings.caller)
         await self.gossip.listen(self._settings.peer)
+        if self._settings.forward_port:
+            host = self._settings.peer.rpartition(":")[0]
+            await self._peer_server.listen(f"{host}:{self._settings.forward_port}")
         event(
             _log,
             "started",
@@ -334,7 +387,7 @@
                 self.mesh.reading = reading
                 self.gossip.announce_state()
             self.mesh.in_flight = self.forwarder.in_flight
-            self.reach.update()
+            self._update_reach()
             self._share_limits()
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
 
@@ -362,6 +415,18 @@
         self._target_client.set_max_connections(max(1, self._max_connections // boxes))
         self.forwarder.configure_retries(ratio=settings.retry_ratio, saved=saved)
 
+    def _update_reach(self) -> None:
+        """Tell peers of services that this box can't reach any more, or again."""
+        changed = self.reach.update()
+        self._path_checks.start_due()
+        if changed and self.mesh.forwarding is not None:
+            unreached = tuple(sorted(self.reach.cut_off))
+            lost = set(unreached) - set(self.mesh.forwarding.unreached)
+            self.mesh.forwarding = replace(self.mesh.forwarding, unreached=unreached)
+            # The next heartbeat is soon enough to say that a path is back.
+            if lost:
+                self.gossip.announce_state()
+
     def _can_serve(self) -> bool:
         tables_ready = self.routes.table is not None and all(t.loaded for t in self.tables.values())
         return tables_ready and self.crash_gossip.may_serve
@@ -391,7 +456,7 @@
         # Callers whose target has not answered get an error instead of a closed connection.
         self.forwarder.cancel_all()
         await asyncio.sleep(plan.flush)
-        for server in (self._caller_server, *self._servers):
+        for server in (self._caller_server, self._peer_server, *self._servers):
             await server.close()
         self.gossip.close()
         event(_log, "stopped", box=self.mesh.name, given_up=unfinished)
@@ -407,6 +472,14 @@
             return
         await self.forwarder.serve(request, exchange.body(), exchange)
 
+    async def _serve_peer(self, exchange: Exchange) -> None:
+        await self.assistant.serve(
+            exchange.headers,
+            exchange.body(),
+            exchange,
+            read_request=lambda: self._adapter.read_request(exchange),
+        )
+
     def _probe_path(self, service: str) -> str:
         table = self.routes.table
         info = None if table is None else table.services.get(service)
@@ -418,6 +491,10 @@
         self.limits.max_body_bytes = limits.body_bytes
         self.limits.head_timeout_s = limits.head_s
         self.limits.idle_timeout_s = limits.idle_s
+        # A peer has checked the caller's head and body; one header is added.
+        self._peer_limits.max_head_bytes = limits.head_bytes + MAX_PEER_REQUEST_BYTES
+        self._peer_limits.max_headers = self.limits.max_headers + 1
+        self._peer_limits.max_body_bytes = limits.body_bytes
         self.forwarder.keep_only({kind.name for kind in table.kinds})
         self._max_connections = min(
             (s.connections for s in table.services.values()), default=_DEFAULT_CONNECTIONS
@@ -448,6 +525,9 @@
             "store_failures_total": float(self._adapter.store_failures()),
             "settings_version": float(self._settings_version()),
             "boxes_live": float(len(self.mesh.live()) + 1),
+            "peer_requests_sent_total": float(self.peer_path.forwarded),
+            "peer_requests_served_total": float(self.assistant.assisted),
+            "peer_connections_opened_total": float(self._peer_client.opened),
             "targets_unreached": float(self.reach.unreached_count),
             "boxes_sharing": float(self.probes.boxes),
             "in_flight": float(self.forwarder.in_flight),
--- a/dunlinnotch/platform/settings_file.py
+++ b/dunlinnotch/platform/settings_file.py
@@ -163,7 +163,7 @@
     ConfigError
         Names the field with its value and the allowed values.
     """
-    port = file.ports("network.internal-port-range")[0]
+    port, last_port = file.ports("network.internal-port-range")
     seeds = file.addresses("network.seeds")
     return EntrySettings(
         name=file.text("self.node-name"),
@@ -176,6 +176,7 @@
         probes_per_s=file.number("terms.bounds.probes-per-s", 60.0),
         retry_ratio=file.number("terms.bounds.budget-ratio", 0.2),
         retry_slack=file.number("terms.bounds.budget-slack", 64.0),
+        forward_port=port + 1 if port < last_port else 0,
     )
 
 
--- a/dunlinnotch/protocol/mesh.py
+++ b/dunlinnotch/protocol/mesh.py
@@ -23,6 +23,8 @@
 #: Format of a heartbeat; those of another format are rejected.
 _HEARTBEAT_FORMAT = 6
 _HEARTBEAT_FIELDS = 13
+#: Position of the optional field that boxes of earlier versions neither send nor read.
+_FORWARDING_FIELD = 13
 #: Largest size of a datagram with more than one message, so that it is not fragmented.
 _MAX_DATAGRAM_BYTES = 1200
 
@@ -47,6 +49,25 @@
     epoch: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardingState:
+    """How a box takes requests from peers, and the services that it can't take any for.
+
+    Parameters
+    ----------
+    port : int
+        Port for requests of peers, at the IP address of its peer address.
+    key : bytes
+        Must accompany each request; drawn anew at each start of the box.
+    unreached : tuple of str
+        Services whose targets the box can't reach.
+    """
+
+    port: int
+    key: bytes
+    unreached: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """State of a box that it sends to its peers.
@@ -75,6 +96,8 @@
         Whether the receiver is to reply with its own heartbeat at once.
     crash_digest : int or None
         Digest of the sender's crash records; ``None`` until it has those of its peers.
+    forwarding : ForwardingState or None
+        ``None`` if the box takes no requests from peers.
     """
 
     name: str
@@ -91,6 +114,7 @@
     tables: dict[str, TableState]
     reply_requested: bool = False
     crash_digest: int | None = None
+    forwarding: ForwardingState | None = None
 
     @property
     def recency(self) -> tuple[int, int]:
@@ -141,6 +165,9 @@
         heartbeat.box_counts,
         heartbeat.crash_digest,
     ]
+    if heartbeat.forwarding is not None:
+        state = heartbeat.forwarding
+        fields.append([state.port, state.key, list(state.unreached)])
     packed: bytes = msgpack.packb(fields)
     return packed
 
@@ -197,9 +224,17 @@
         tables={str(n): TableState(*map(int, state)) for n, state in fields[10].items()},
         reply_requested=bool(reply_requested),
         crash_digest=None if fields[12] is None else int(fields[12]),
+        forwarding=_read_forwarding(fields),
     )
 
 
+def _read_forwarding(fields: list[Any]) -> ForwardingState | None:
+    if len(fields) <= _FORWARDING_FIELD or fields[_FORWARDING_FIELD] is None:
+        return None
+    port, key, unreached = fields[_FORWARDING_FIELD][:3]
+    return ForwardingState(int(port), bytes(key), tuple(str(name) for name in unreached))
+
+
 def pack_delta(delta: TableDelta, *, age_ms: int) -> dict[str, Any]:
     """Return a table's changes as a map for msgpack."""
     rows = [[row.key, row.version, row.value] for row in delta.rows]
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -22,7 +22,7 @@
     Verdict,
 )
 from dunlinnotch.transport.stream.common import request_head
-from dunlinnotch.transport.stream.link_pool import LinkPool
+from dunlinnotch.transport.stream.link_pool import UNREACHED_AFTER_S, LinkPool
 from dunlinnotch.transport.stream.target_link import (
     MAX_IDLE_S,
     IncomingAnswer,
@@ -129,9 +129,11 @@
     ----------
     dialect : TargetDialect
         Headers and statuses that targets use.
-    on_contact : callable, optional
-        Called with the address of a target, and with ``reached`` as True when the target is
-        heard, False when no connection to it could be opened.
+    on_heard : callable, optional
+        Called with the address of a target whenever bytes arrive from it.
+    on_unreached : callable, optional
+        Called with the address of a target to which no connection could be opened, or which
+        did not answer a probe, and with the time since which that is so.
 
     Attributes
     ----------
@@ -143,10 +145,12 @@
         self,
         dialect: TargetDialect,
         *,
-        on_contact: Callable[[Address, bool], None] = lambda address, reached: None,
+        on_heard: Callable[[Address], None] = lambda address: None,
+        on_unreached: Callable[[Address, Seconds], None] = lambda address, since: None,
     ) -> None:
         self._dialect = dialect
-        self._on_contact = on_contact
+        self._on_heard = on_heard
+        self._on_unreached = on_unreached
         self._pools: dict[Address, LinkPool] = {}
         self._max_links = 64
         self.opened_in_closed_pools = 0
@@ -173,7 +177,8 @@
             pool = self._pools[address] = LinkPool(
                 address,
                 max_links=self._max_links,
-                on_contact=functools.partial(self._on_contact, address),
+                on_heard=functools.partial(self._on_heard, address),
+                on_unreached=functools.partial(self._on_unreached, address),
             )
         return pool
 
@@ -199,10 +204,6 @@
         """Return whether no process listens at the address of a target any more."""
         return await self.pool(address).refuses_connections()
 
-    async def check_path(self, address: Address) -> None:
-        """Learn whether a target can be reached, without sending it anything."""
-        await self.pool(address).check_path()
-
     async def probe(self, address: Address, path: str) -> ProbeResult:
         """Probe a target.
 
@@ -221,6 +222,7 @@
         if isinstance(link, NotSent):
             return ProbeResult(None, healthy=False, detail=link.detail)
         completed = False
+        began = asyncio.get_running_loop().time()
         try:
             head = request_head("GET", path, self._dialect.probe_headers(pool.address), length=0)
             link.head_only = False
@@ -240,7 +242,12 @@
                 probe_result.link = link
             return probe_result
         except (LinkBrokenError, BodyCutError) as error:
+            self._on_unreached(address, began)
             return ProbeResult(None, healthy=False, detail=str(error))
+        except asyncio.CancelledError:
+            if asyncio.get_running_loop().time() - began >= UNREACHED_AFTER_S:
+                self._on_unreached(address, began)
+            raise
         finally:
             if not completed:
                 pool.discard(link)
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -16,9 +16,9 @@
 
 #: Timeout for opening a connection, in seconds.
 _CONNECT_TIMEOUT_S = 0.6
-#: Time within which a connection opens wherever there is a path, in seconds: many round trips
-#: between places.
-_REACH_TIMEOUT_S = 0.2
+#: A connection or a probe that is given up after this time, in seconds, shows that there is
+#: no path.
+UNREACHED_AFTER_S = 0.15
 #: Time after which a new connection is checked for an early close, in seconds.  A process that
 #: is exiting may accept a connection and close it at once.
 _EARLY_CLOSE_DELAY_S = 0.005
@@ -35,9 +35,10 @@
     address : str
     max_links : int
         Maximum number of connections that are open at the same time.
-    on_contact : callable, optional
-        Called with True when the address is heard, and with False when a connection to it
-        could not be opened.
+    on_heard : callable, optional
+        Called whenever bytes arrive from the address.
+    on_unreached : callable, optional
+        Called with the time since which a connection to the address could not be opened.
 
     Attributes
     ----------
@@ -52,11 +53,13 @@
         address: Address,
         *,
         max_links: int,
-        on_contact: Callable[[bool], None] = lambda reached: None,
+        on_heard: Callable[[], None] = lambda: None,
+        on_unreached: Callable[[Seconds], None] = lambda since: None,
     ) -> None:
         self.address = address
         self.max_links = max_links
-        self._on_contact = on_contact
+        self._on_heard = on_heard
+        self._on_unreached = on_unreached
         self.open_links: set[TargetLink] = set()
         self.opened = 0
         self._idle: list[TargetLink] = []
@@ -119,7 +122,7 @@
         self._remove_closed()
         if len(self.open_links) >= self.max_links:
             return NotSent(Reason.CONNECT_FAILED, f"all {self.max_links} connections are in use")
-        link = TargetLink(self.address, on_data=lambda: self._on_contact(True))
+        link = TargetLink(self.address, on_data=self._on_heard)
         self.open_links.add(link)
         began = self._loop.time()
         try:
@@ -127,33 +130,22 @@
                 await self._open(link)
         except (OSError, TimeoutError) as error:
             self.open_links.discard(link)
-            self._on_contact(False)
+            self._on_unreached(began)
             refused = isinstance(error, ConnectionRefusedError)
             detail = f"{type(error).__name__}: {error}"
             return NotSent(Reason.CONNECT_FAILED, detail, refused=refused)
         except asyncio.CancelledError:
             self.open_links.discard(link)
-            if self._loop.time() - began >= _REACH_TIMEOUT_S:
-                self._on_contact(False)
+            if self._loop.time() - began >= UNREACHED_AFTER_S:
+                self._on_unreached(began)
             raise
         self.opened += 1
-        self._on_contact(True)
         return link
 
     async def _open(self, link: TargetLink) -> None:
         host, _, port = self.address.rpartition(":")
         await self._loop.create_connection(lambda: link, host, int(port))
 
-    async def check_path(self) -> None:
-        """Open a connection to learn whether the address can be reached; keep it if so."""
-        try:
-            async with asyncio.timeout(_REACH_TIMEOUT_S):
-                link = await self.connect()
-        except TimeoutError:
-            return
-        if isinstance(link, TargetLink):
-            self.release_link(link)
-
     def release_link(self, link: TargetLink) -> None:
         """Return a connection to the pool if it can be reused, else close it.
 
--- a/dunlinnotch/transport/stream/server.py
+++ b/dunlinnotch/transport/stream/server.py
@@ -26,7 +26,6 @@
 
     Handler = Callable[["Exchange"], Awaitable[None]]
 
-_MAX_HEADERS = 100
 #: Maximum number of requests of one connection that wait for their turn; beyond it, the
 #: connection is not read.
 _MAX_PIPELINED_REQUESTS = 4
@@ -47,24 +46,34 @@
     ----------
     max_head_bytes, max_body_bytes : int
         Maximum size of the head and of the body of a request, in bytes.
+    max_headers : int
+        Maximum number of headers of a request.
     head_timeout_s : float
         Seconds within which the head of a request must be complete once it has begun.
     idle_timeout_s : float
         Seconds for which a connection may wait for its next request.
     """
 
-    __slots__ = ("max_body_bytes", "max_head_bytes", "head_timeout_s", "idle_timeout_s")
+    __slots__ = (
+        "max_body_bytes",
+        "max_head_bytes",
+        "max_headers",
+        "head_timeout_s",
+        "idle_timeout_s",
+    )
 
     def __init__(
         self,
         *,
         max_head_bytes: int = 16384,
         max_body_bytes: int = 64 * 1024 * 1024,
+        max_headers: int = 100,
         head_timeout_s: Seconds = 5.0,
         idle_timeout_s: Seconds = 60.0,
     ) -> None:
         self.max_head_bytes = max_head_bytes
         self.max_body_bytes = max_body_bytes
+        self.max_headers = max_headers
         self.head_timeout_s = head_timeout_s
         self.idle_timeout_s = idle_timeout_s
 
@@ -333,7 +342,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; reject more than one ``Host`` or too many headers."""
         header = Header(name.decode("latin-1"), value.decode("latin-1"))
-        if len(self._parsing.headers) >= _MAX_HEADERS:
+        if len(self._parsing.headers) >= self.server.limits.max_headers:
             self._parsing.reject(431)
             return
         if header.name.lower() == "host" and self._parsing.header("host") is not None:
--- a/tests/cut_paths.py
+++ b/tests/cut_paths.py
@@ -28,6 +28,10 @@
 
     #: Nothing passes, on open connections and on new ones.
     HANGS = auto()
+    #: New connections open, and nothing passes.
+    OPENS = auto()
+    #: New connections open and are reset, like those that were open.
+    OPENS_AND_RESETS = auto()
     #: Open connections are reset, and new ones refused.
     RESETS = auto()
     #: Open connections live on, and new ones are refused.
@@ -47,7 +51,7 @@
     ) -> None:
         """Cut the paths of a box to some targets, by default to all, also to later ones."""
         self._cuts.append((box, targets, how))
-        if how is Cut.RESETS:
+        if how in (Cut.RESETS, Cut.OPENS_AND_RESETS):
             for pool in list(box._target_client._pools.values()):
                 if targets is None or pool.address in targets:
                     for link in list(pool.open_links):
@@ -84,16 +88,18 @@
         how = paths.find(pool)
         if how in (Cut.RESETS, Cut.REFUSES_NEW):
             raise ConnectionRefusedError("the path is cut")
-        if how is not None:
+        if how in (Cut.HANGS, Cut.ONE_WAY):
             await asyncio.sleep(_HANG_S)
         await _open(pool, link)
+        if how is Cut.OPENS_AND_RESETS:
+            pool._loop.call_soon(link._transport.abort)
 
     def write(link, data):
-        if paths.find_link(link) is not Cut.HANGS:
+        if paths.find_link(link) not in (Cut.HANGS, Cut.OPENS):
             _write(link, data)
 
     def data_received(link, data):
-        if paths.find_link(link) not in (Cut.HANGS, Cut.ONE_WAY):
+        if paths.find_link(link) not in (Cut.HANGS, Cut.OPENS, Cut.ONE_WAY):
             _data_received(link, data)
 
     with (
--- a/tests/stream_world.py
+++ b/tests/stream_world.py
@@ -118,6 +118,7 @@
             probes_per_s=10_000.0,
             retry_ratio=0.2,
             retry_slack=640.0,
+            forward_port=free_port(),
         )
         adapter = make_adapter(self.store.address)
         box = EntryBox(settings, adapter, rng=random.Random(number), dropped_lines=lambda: 0)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -20,6 +20,7 @@
 )
 from dunlinnotch.errors import ProtocolError
 from dunlinnotch.protocol.mesh import (
+    ForwardingState,
     pack_delta,
     pack_heartbeat,
     pack_messages,
@@ -234,3 +235,38 @@
     local.state = RUNNING
     mesh.receive(local.own_heartbeat())
     assert sorted(mesh.offered_addresses("hall-a")) == ["a:1", "b:1"]
+
+
+def _forwarding_box(name, clock, *, unreached=(), place="hall-a"):
+    peer, _ = box(name, clock, place=place)
+    peer.forwarding = ForwardingState(7661, b"key", unreached)
+    return peer
+
+
+def test_way_for_peers_is_kept_when_a_box_of_an_earlier_version_forwards_a_heartbeat():
+    clock = Clock()
+    mesh, _ = box("a", clock)
+    peer = _forwarding_box("b", clock, unreached=("s",))
+    mesh.receive(peer.own_heartbeat())
+    mesh.receive(replace(peer.own_heartbeat(), forwarding=None))
+    assert mesh.heartbeats()[0].forwarding == peer.forwarding
+    restarted, _ = box("b", clock, incarnation=2)
+    mesh.receive(restarted.own_heartbeat())
+    assert mesh.heartbeats()[0].forwarding is None
+
+
+def test_only_live_running_boxes_that_reach_a_service_take_its_requests_from_peers():
+    clock = Clock()
+    mesh, _ = box("a", clock)
+    boxes = [_forwarding_box(name, clock) for name in "bcd"] + [
+        _forwarding_box("e", clock, unreached=("s",)),
+        box("earlier", clock)[0],
+    ]
+    boxes[1].state = DRAINING
+    for peer in boxes:
+        mesh.receive(peer.own_heartbeat())
+    assert [peer.name for peer in mesh.forwarding_peers("s")] == ["b", "d"]
+    assert [peer.name for peer in mesh.forwarding_peers("t")] == ["b", "d", "e"]
+    clock.now += SUSPECT_S + 0.1
+    mesh.receive(boxes[2].own_heartbeat())
+    assert [peer.name for peer in mesh.forwarding_peers("s")] == ["d"]
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -25,9 +25,9 @@
 
     def record(self, service, *, reached=(), unreached=()):
         for number in reached:
-            self.reach.record_contact(f"{service}-{number}", True)
+            self.reach.record_heard(f"{service}-{number}")
         for number in unreached:
-            self.reach.record_contact(f"{service}-{number}", False)
+            self.reach.record_unreached(f"{service}-{number}", self.now)
 
 
 @pytest.mark.parametrize(
@@ -78,6 +78,17 @@
     assert world.reach.unreached_count == 1
 
 
+def test_a_target_heard_while_a_connection_to_it_failed_is_reached():
+    world = Reach()
+    world.now += 1.0
+    world.record("loans", reached=(0, 1))
+    for number in (0, 1):
+        world.reach.record_unreached(f"loans-{number}", world.now - 0.5)
+    assert world.reach.unreached_count == 0
+    world.reach.record_unreached("loans-0", world.now + 0.5)
+    assert world.reach.unreached_count == 1
+
+
 def test_targets_without_news_for_longest_are_checked_first():
     world = Reach()
     world.record("loans", reached=(2,))
