Offer callers the boxes that reach their targets, while these are at least half

A box that is cut off serves its callers over peers, at the price of a second hop and of bytes between places. The addresses given out named every running box, so callers kept choosing it. Boxes cut off from a service are now left out while they are at most half of all; a place with few others left sends its callers to other places too. No caller depends on it: addresses are kept for seconds.

test_boxes_cut_off_from_targets_are_not_offered_while_they_are_few and test_callers_are_told_of_boxes_that_reach_their_targets_first failed before.

--- a/dunlinnotch/coordination/membership/mesh.py
+++ b/dunlinnotch/coordination/membership/mesh.py
@@ -376,7 +376,9 @@
         Notes
         -----
         Boxes of one place alone are returned only if there are at least two, and if this
-        box knows most boxes of that place.
+        box knows most boxes of that place as live and as able to reach all targets.  Boxes
+        cut off from targets are left out while they are at most half of all, so that fewer
+        requests take the way over a peer.
         """
         now = self._clock()
         latest = [
@@ -392,12 +394,20 @@
                 if now - received.at <= _LAST_RESORT_S
             ]
             running = [heartbeat for heartbeat in latest if heartbeat.state == RUNNING]
-        entries = [(heartbeat.place, heartbeat.caller) for heartbeat in running]
+        entries = [
+            (heartbeat.place, heartbeat.caller, _reaches_all(heartbeat.forwarding))
+            for heartbeat in running
+        ]
         if self.state == RUNNING:
-            entries.append((self.place, self._caller))
-        local = [caller for box_place, caller in entries if box_place == place]
-        if len(local) <= 1 or (place != self.place and not self._knows_most(place)):
-            return [caller for _, caller in entries]
+            entries.append((self.place, self._caller, _reaches_all(self.forwarding)))
+        local_count = sum(box_place == place for box_place, _, _ in entries)
+        reaching = [entry for entry in entries if entry[2]]
+        if 2 * len(reaching) >= len(entries):
+            entries = reaching
+        local = [caller for box_place, caller, _ in entries if box_place == place]
+        too_few = len(local) <= 1 or 2 * len(local) < local_count
+        if too_few or (place != self.place and not self._knows_most(place)):
+            return [caller for _, caller, _ in entries]
         return local
 
     def _knows_most(self, place: str) -> bool:
@@ -416,3 +426,8 @@
     if previous.heartbeat.incarnation != heartbeat.incarnation:
         return heartbeat
     return replace(heartbeat, forwarding=previous.heartbeat.forwarding)
+
+
+def _reaches_all(forwarding: ForwardingState | None) -> bool:
+    """Return whether a box reaches the targets of all services, as far as it tells."""
+    return forwarding is None or not forwarding.unreached
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -326,6 +326,20 @@
     with_cut_off_box(test)
 
 
+def test_callers_are_told_of_boxes_that_reach_their_targets_first():
+    async def test(world, paths, box):
+        await until(
+            lambda: all(box.caller not in b.mesh.offered_addresses("hall-a") for b in world.boxes)
+        )
+        await cut_off(paths, world.boxes[1])
+        # The larger part is cut off: all are named, and help one another.
+        await until(
+            lambda: all(len(b.mesh.offered_addresses("hall-a")) == _BOXES for b in world.boxes)
+        )
+
+    with_cut_off_box(test)
+
+
 def test_box_that_is_cut_off_stays_ready():
     async def test(world, paths, box):
         assert box.ready
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -270,3 +270,27 @@
     clock.now += SUSPECT_S + 0.1
     mesh.receive(boxes[2].own_heartbeat())
     assert [peer.name for peer in mesh.forwarding_peers("s")] == ["d"]
+
+
+def test_boxes_cut_off_from_targets_are_not_offered_while_they_are_few():
+    clock = Clock()
+    mesh, _ = box("a", clock)
+    peers = [_forwarding_box(name, clock) for name in "bcd"]
+    peers += [_forwarding_box(name, clock, place="hall-b") for name in "ef"]
+
+    def offered(*unreached):
+        for peer in peers:
+            peer.forwarding = ForwardingState(
+                7661, b"key", ("s",) if peer.name in unreached else ()
+            )
+            mesh.receive(peer.own_heartbeat())
+        return "".join(sorted(address[0] for address in mesh.offered_addresses("hall-a")))
+
+    assert offered() == "abcd"
+    assert offered("b") == "acd"
+    assert offered("b", "c") == "ad"
+    # Fewer than half of the place: boxes of other places share the callers.
+    assert offered("b", "c", "d") == "aef"
+    mesh.forwarding = ForwardingState(7661, b"key", ("s",))
+    assert offered("b") == "cd"
+    assert offered("b", "c", "d") == "abcd"
