Don't eject targets that only this box can't reach

A cut-off box ejected each target for up to 4 s after its last failed probe, so that after the cut it went on without them although they had never failed. While this box is cut off from a service that a live peer reaches, a connection that does not open is no failure of the target.

test_target_that_only_this_box_can_not_reach_is_not_ejected: the chooser could not be told before, and ejected after two such failures.

--- a/dunlinnotch/coordination/choosing/fresh_reports.py
+++ b/dunlinnotch/coordination/choosing/fresh_reports.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from dunlinnotch.coordination.choosing.latency_model import LatencyModel
     from dunlinnotch.state.instances import Instance
@@ -98,9 +98,19 @@
     latency_model : LatencyModel
         Learnt latencies and slowdowns.
     rng : random.Random
+    only_unreached : callable, optional
+        Returns whether this box is cut off from a service whose targets its peers reach.
     """
 
-    def __init__(self, *, place: str, latency_model: LatencyModel, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        place: str,
+        latency_model: LatencyModel,
+        rng: random.Random,
+        only_unreached: Callable[[str], bool] = lambda service: False,
+    ) -> None:
+        self._only_unreached = only_unreached
         self._place = place
         self._latency_model = latency_model
         self._rng = rng
@@ -184,6 +194,17 @@
             doublings = min(excess_failures, _MAX_EJECTION_DOUBLINGS)
             instance.ejected_until = now + min(max_s, math.ldexp(min_s, doublings))
 
+    def record_no_contact(self, instance: Instance, now: Seconds) -> None:
+        """Record that a target could not be reached, or did not answer a probe.
+
+        Notes
+        -----
+        It is a failure of the target unless this box is cut off from it: targets ejected for
+        that would stay out of use after the path is back.
+        """
+        if not self._only_unreached(instance.listed.service):
+            self.record_failure(instance, now)
+
     def record_refusal(self, instance: Instance, status: TargetStatus, now: Seconds) -> None:
         """Record that a target refused a request, with the status it sent.
 
--- a/dunlinnotch/coordination/choosing/selector.py
+++ b/dunlinnotch/coordination/choosing/selector.py
@@ -356,7 +356,7 @@
         status = probe_result.status or TargetStatus()
         if probe_result.instance is None:
             self._apply_notices(instance, status)
-            self._chooser.record_failure(instance, self._loop.time())
+            self._chooser.record_no_contact(instance, self._loop.time())
             return False
         if probe_result.instance != instance.name:
             if self._instances.remove(instance.name):
--- a/dunlinnotch/coordination/requests/target_attempts.py
+++ b/dunlinnotch/coordination/requests/target_attempts.py
@@ -158,7 +158,7 @@
             return await self._relay(run, kind, instance, end)
         if isinstance(end, NotSent):
             run.undo_send()
-            self._chooser.record_failure(instance, now)
+            self._chooser.record_no_contact(instance, now)
             return Ending(Outcome.NOT_RUN, 503, end.reason, end.detail)
         if isinstance(end, NotRun):
             run.may_have_run = run.earlier_attempt_may_have_run
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -240,6 +240,7 @@
             place=settings.place,
             latency_model=self.latency_model,
             rng=rng,
+            only_unreached=self.peer_path.is_needed,
         )
         self.selector = TargetSelector(
             instances=self.instances,
--- a/tests/test_fresh_reports.py
+++ b/tests/test_fresh_reports.py
@@ -110,3 +110,21 @@
     for _ in range(3000):
         FreshReportChooser.record_failure(instance, NOW)
     assert instance.ejected_until == NOW + 4.0
+
+
+def test_target_that_only_this_box_can_not_reach_is_not_ejected():
+    unreached = {"s"}
+    chooser = FreshReportChooser(
+        place="hall-a",
+        latency_model=LatencyModel(),
+        rng=random.Random(1),
+        only_unreached=unreached.__contains__,
+    )
+    instance = target()
+    for _ in range(5):
+        chooser.record_no_contact(instance, NOW)
+    assert instance.ejected_until <= NOW
+    unreached.clear()
+    for _ in range(2):
+        chooser.record_no_contact(instance, NOW)
+    assert instance.ejected_until > NOW
