Don't report targets as crashed that this box can't reach

Connections that are reset and then refused on the way look like a target that ended while it served a request. Such a crash is recorded, sent to all boxes, and three of them quarantine the request everywhere: a box that is cut off could have its callers' requests refused by boxes that are well. Before a crash is recorded, most of up to three other targets must be reachable.

test_box_that_is_cut_off_reports_no_crashes_of_its_targets failed before: four requests in flight at four targets when the paths were reset, four crashes recorded. A target that has no others is believed to be gone, as before.

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -184,6 +184,10 @@
         """Return False: model targets do not exit."""
         return False
 
+    async def check_path(self, address: str) -> bool:
+        """Return True: there is always a path to a model target."""
+        return True
+
     async def probe(self, address: str, path: str) -> ProbeResult:
         """Probe a target and return its report."""
         await asyncio.sleep(_ONE_WAY_DELAY_S)
--- a/dunlinnotch/coordination/choosing/reach.py
+++ b/dunlinnotch/coordination/choosing/reach.py
@@ -13,6 +13,8 @@
 from dunlinnotch._logs import event
 
 if TYPE_CHECKING:
+    import random
+
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.types import Address, Clock, Seconds
 
@@ -20,6 +22,8 @@
 _REACHED_FOR_S = 3.0
 #: Fewest targets that can't be reached at once if the path is cut; one alone has failed.
 _MIN_UNREACHED = 2
+#: Number of other targets that are tried before a target is believed to be gone.
+_WITNESSES = 3
 
 _log = logging.getLogger(__name__)
 
@@ -72,6 +76,15 @@
             unreached > reached
         )
 
+    def witnesses(self, instance: Instance, *, rng: random.Random) -> list[Address]:
+        """Return the addresses of a few random targets at other addresses than an instance."""
+        others = [
+            other.address
+            for other in self._instances.all()
+            if other.address != instance.address and other.missing_since is None
+        ]
+        return rng.sample(others, min(_WITNESSES, len(others)))
+
     def least_recent(self, service: str) -> list[Instance]:
         """Return the targets of a service, those without news for longest first."""
         return sorted(self._instances.for_service(service), key=lambda i: self._news_at(i.address))
--- a/dunlinnotch/coordination/requests/crash_guard.py
+++ b/dunlinnotch/coordination/requests/crash_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,7 @@
     from dunlinnotch.protocol.relay import CallerRequest, TargetPort
     from dunlinnotch.state.crashes import CrashLog, CrashRecord
     from dunlinnotch.state.instances import Instance
-    from dunlinnotch.types import Seconds
+    from dunlinnotch.types import Address, Seconds
 
 _log = logging.getLogger(__name__)
 
@@ -49,6 +50,8 @@
     targets : TargetPort
     publish : callable
         Receives the crash records that this box has added and other boxes lack.
+    witnesses : callable, optional
+        Returns the addresses of a few other targets than the given one.
 
     Attributes
     ----------
@@ -70,10 +73,12 @@
         targets: TargetPort,
         *,
         publish: Callable[[Sequence[CrashRecord]], None],
+        witnesses: Callable[[Instance], Sequence[Address]] = lambda instance: (),
     ) -> None:
         self._crash_log = log
         self._targets = targets
         self._publish = publish
+        self._witnesses = witnesses
         self.targets_crashed = 0
 
     @property
@@ -107,6 +112,9 @@
         ended = self._crash_log.now
         if not await self._targets.is_gone(instance.address):
             return
+        if not await self._has_path(instance):
+            event(_log, "target-unreached", instance=instance.name, target=instance.address)
+            return
         tracked.crashed[instance.start] = ServingSpan(ended - took, ended)
         self.targets_crashed += 1
         event(
@@ -120,6 +128,18 @@
             origin=tracked.fingerprint.origin,
         )
 
+    async def _has_path(self, instance: Instance) -> bool:
+        """Return whether most of a few other targets can be reached.
+
+        Notes
+        -----
+        If they can't, this box is cut off: its connections are refused on the way, and say
+        nothing about the target.  A target without others is believed to be gone.
+        """
+        witnesses = self._witnesses(instance)
+        checks = await asyncio.gather(*(self._targets.check_path(w) for w in witnesses))
+        return 2 * sum(checks) >= len(checks)
+
     def record_end(self, tracked: TrackedRequest, *, answered: bool) -> None:
         """Record the end of a request and publish the crash records that changed.
 
--- a/dunlinnotch/daemon/entry.py
+++ b/dunlinnotch/daemon/entry.py
@@ -225,6 +225,7 @@
             self.crashes,
             self._target_client,
             publish=self.crash_gossip.publish,
+            witnesses=lambda instance: self.reach.witnesses(instance, rng=rng),
         )
         self._peer_client = PeerClient()
         self.peer_path = PeerPath(
--- a/dunlinnotch/protocol/relay.py
+++ b/dunlinnotch/protocol/relay.py
@@ -204,6 +204,9 @@
     async def is_gone(self, address: Address) -> bool:
         """Return whether no process listens at a target's address any more."""
 
+    async def check_path(self, address: Address) -> bool:
+        """Return whether a connection to a target opens; nothing is sent on it."""
+
     async def attempt(
         self,
         address: Address,
--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -204,6 +204,10 @@
         """Return whether no process listens at the address of a target any more."""
         return await self.pool(address).refuses_connections()
 
+    async def check_path(self, address: Address) -> bool:
+        """Return whether a connection to a target opens; nothing is sent on it."""
+        return await self.pool(address).check_path()
+
     async def probe(self, address: Address, path: str) -> ProbeResult:
         """Probe a target.
 
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -16,6 +16,9 @@
 
 #: Timeout for opening a connection, in seconds.
 _CONNECT_TIMEOUT_S = 0.6
+#: Timeout of a check whether there is a path to the address, in seconds: many round trips
+#: between places.
+_PATH_CHECK_TIMEOUT_S = 0.2
 #: A connection or a probe that is given up after this time, in seconds, shows that there is
 #: no path.
 UNREACHED_AFTER_S = 0.15
@@ -146,6 +149,18 @@
         host, _, port = self.address.rpartition(":")
         await self._loop.create_connection(lambda: link, host, int(port))
 
+    async def check_path(self) -> bool:
+        """Return whether a new connection opens, and keep it in the pool."""
+        try:
+            async with asyncio.timeout(_PATH_CHECK_TIMEOUT_S):
+                link = await self.connect()
+        except TimeoutError:
+            return False
+        if isinstance(link, NotSent):
+            return False
+        self.release_link(link)
+        return True
+
     def release_link(self, link: TargetLink) -> None:
         """Return a connection to the pool if it can be reused, else close it.
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -150,3 +150,26 @@
             assert len(box.crashes.conclusive) == 2
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("reached", "crashed"),
+    [((), False), (("w1",), False), (("w1", "w2"), True), (("w1", "w2", "w3"), True)],
+)
+def test_a_box_that_reaches_no_other_targets_either_records_no_crash(reached, crashed):
+    class CutOffTargets(Targets):
+        async def check_path(self, address):
+            return address in reached
+
+    log = CrashLog(clock=Clock())
+    crash_guard = CrashGuard(
+        log,
+        CutOffTargets("a"),
+        publish=lambda _: None,
+        witnesses=lambda _: ("w1", "w2", "w3"),
+    )
+    crash_guard.clock = Clock()
+    tracked = TrackedRequest(FINGERPRINT)
+    check_targets(crash_guard, tracked, "a")
+    assert bool(tracked.crashed) is crashed
+    assert crash_guard.targets_crashed == crashed
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -311,6 +311,28 @@
     run(test)
 
 
+def test_box_that_is_cut_off_reports_no_crashes_of_its_targets():
+    async def test():
+        async with stream_world(boxes=2, workers=_WORKERS) as world:
+            box = world.boxes[0]
+            for worker in world.workers:
+                worker.settings.work_s = 30.0
+            tasks = [
+                asyncio.create_task(call(box, f"/read/{n}", f"r{n}", deadline_ms=20_000))
+                for n in range(4)
+            ]
+            await until(lambda: len(world.ran) == 4)
+            for worker in world.workers:
+                worker.settings.work_s = 0.0
+            with cut_paths() as paths:
+                paths.cut(box, Cut.RESETS)
+                await asyncio.gather(*tasks)
+                assert box._crash_guard.targets_crashed == 0
+                assert not [b for b in world.boxes if b.crashes.quarantined]
+
+    run(test)
+
+
 def test_box_serves_from_here_again_when_the_path_is_back():
     async def test(world, paths, box):
         assert box.mesh.forwarding.unreached == ("loans",)
