Refuse a request as not run rather than send it on a path that is cut

Callers of a box that no peer could help got 502 for requests that may not be repeated: the box sent them to targets that it had not reached since the cut began, on connections that open and are then reset, and could not say afterwards whether they had run.

While a box is cut off from a service it now sends nothing to a target that it has not heard since it lost it, and refuses at once with reason cut-off, so that the caller may go elsewhere. test_request_without_any_way_to_a_target_is_refused_as_not_run failed before (502).

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -259,6 +259,10 @@
     def choose(self, service: str, *, tried: set[str]) -> None:
         """Return None."""
 
+    def is_unreached(self, instance: object) -> bool:
+        """Return False: all targets are reached."""
+        return False
+
     def is_hopeless(self, run: object) -> bool:
         """Return False: all targets are reached."""
         return False
--- a/dunlinnotch/coordination/choosing/reach.py
+++ b/dunlinnotch/coordination/choosing/reach.py
@@ -62,6 +62,10 @@
         if self._reached_at.get(address, float("-inf")) < since:
             self._unreached_since.setdefault(address, self._clock())
 
+    def is_unreached(self, instance: Instance) -> bool:
+        """Return whether a target has not been heard since it could not be reached."""
+        return instance.address in self._unreached_since
+
     def is_cut_off(self, service: str) -> bool:
         """Return whether this box reaches less than half of a service's targets that it tried.
 
--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -32,13 +32,12 @@
     from dunlinnotch.coordination.requests.target_attempts import TargetAttempts
     from dunlinnotch.protocol.mesh import Heartbeat
     from dunlinnotch.protocol.relay import CallerRequest, ReplyPort
+    from dunlinnotch.state.instances import Instance
     from dunlinnotch.state.routes import RequestKind, RouteTable
     from dunlinnotch.types import Seconds
 
 _MIN_RETRY_DELAY_S = 0.05
 _RETRY_DELAY_WITHOUT_SETTINGS_S = 0.3
-#: Reasons of selections that are made because no target was good in time.
-_SELECTED_LAST = ("best", "unasked")
 #: Result of an attempt that was not made, because what it was based on has changed.
 _CHOOSE_AGAIN = Ending(Outcome.NOT_RUN, 503)
 
@@ -69,6 +68,9 @@
     def choose(self, service: str, *, tried: set[str]) -> Heartbeat | None:
         """Return the peer to pass a request to, or None to look for a target from here."""
 
+    def is_unreached(self, instance: Instance) -> bool:
+        """Return whether a target is out of reach because this box is cut off from it."""
+
     def is_hopeless(self, run: Run) -> bool:
         """Return whether neither this box nor a peer reaches the targets of a request."""
 
@@ -320,7 +322,7 @@
             if ending is _CHOOSE_AGAIN:
                 continue
             if ending is None:
-                return last_failure or self._attempts.no_target_refusal(service)
+                return last_failure or self._no_target_refusal(run)
             if ending.outcome is Outcome.ANSWERED or not self._may_retry(run, kind, ending):
                 return ending
             last_failure = ending
@@ -336,14 +338,13 @@
     async def _attempt_from_here(self, run: Run, kind: RequestKind) -> Ending | None:
         """Make an attempt at a target; return None if no target is free in time."""
         selection = await self._attempts.choose(run, kind, run.service)
-        if selection is None or selection.reason in _SELECTED_LAST:
-            # The box may have lost the path while the request waited.
-            if self._peer_path.choose(run.service, tried=run.tried_peers) is not None:
-                if selection is not None:
-                    self._selector.release(selection)
-                return _CHOOSE_AGAIN
-            if selection is None:
-                return None
+        # The box may have lost the path while the request waited.
+        if selection is not None and self._peer_path.is_unreached(selection.instance):
+            self._selector.release(selection)
+            selection = None
+        if selection is None:
+            peer = self._peer_path.choose(run.service, tried=run.tried_peers)
+            return None if peer is None else _CHOOSE_AGAIN
         if not self._selection_holds(run, selection):
             self._selector.release(selection)
             return _CHOOSE_AGAIN
@@ -360,6 +361,12 @@
         )
         return await self._attempts.handle_end(run, kind, selection.instance, end)
 
+    def _no_target_refusal(self, run: Run) -> Ending:
+        if self._peer_path.is_hopeless(run):
+            detail = f"neither this box nor a peer reaches the targets of {run.service!r}"
+            return Ending(Outcome.NOT_RUN, 503, Reason.CUT_OFF, detail)
+        return self._attempts.no_target_refusal(run.service)
+
     def _quarantine_refusal(self, run: Run) -> Ending | None:
         """Return the refusal if the request is quarantined, else None."""
         delay = self._guard.quarantine_left(run.tracked)
--- a/dunlinnotch/coordination/requests/peer_path.py
+++ b/dunlinnotch/coordination/requests/peer_path.py
@@ -32,6 +32,7 @@
     from dunlinnotch.protocol.peer_forward import PeerResult
     from dunlinnotch.protocol.relay import AttemptEnd, CallerRequest, RelayBody
     from dunlinnotch.state.heads import AnswerHead
+    from dunlinnotch.state.instances import Instance
     from dunlinnotch.state.routes import RequestKind
     from dunlinnotch.types import Address, Seconds
 
@@ -92,6 +93,16 @@
         """Return whether this box is cut off from a service that a live peer reaches."""
         return self._reach.is_cut_off(service) and bool(self._mesh.forwarding_peers(service))
 
+    def is_unreached(self, instance: Instance) -> bool:
+        """Return whether a target is out of reach because this box is cut off from it.
+
+        Notes
+        -----
+        Nothing is sent to it then.  What might run there could not be refused as not run.
+        """
+        service = instance.listed.service
+        return self._reach.is_unreached(instance) and self._reach.is_cut_off(service)
+
     def is_hopeless(self, run: Run) -> bool:
         """Return whether neither this box nor a peer reaches the targets of a request.
 
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -203,6 +203,18 @@
     with_cut_off_box(test)
 
 
+def test_request_without_any_way_to_a_target_is_refused_as_not_run():
+    async def test(world, paths, box):
+        for other in world.boxes[1:]:
+            await cut_off(paths, other, Cut.OPENS_AND_RESETS)
+        await until(lambda: all(not b.mesh.forwarding_peers("loans") for b in world.boxes))
+        answer = await call(box, "/lend/a", "none", method="POST", body=b"x")
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+
+    with_cut_off_box(test, how=Cut.OPENS_AND_RESETS)
+
+
 def test_box_that_is_cut_off_itself_refuses_requests_of_peers():
     async def test(world, paths, box):
         for other in world.boxes[1:]:
