--- a/dunlinnotch/lab/checker/common.py
+++ b/dunlinnotch/lab/checker/common.py
@@ -90,7 +90,6 @@
         Guarantee.TIME_LIMIT,
         Guarantee.PROBE_BUDGET,
         Guarantee.RECOVERY,
-        Guarantee.CUT_OFF,
     }
 )
 
--- a/dunlinnotch/lab/faults.py
+++ b/dunlinnotch/lab/faults.py
@@ -271,12 +271,17 @@
     # Boxes
 
     async def _cut_off_boxes(self, plan: FaultPlan) -> None:
-        boxes = self._sample_boxes(plan)
         state = _CUT_STATES[min(int(plan.x), len(_CUT_STATES) - 1)]
+        await self.cut_off(self._sample_boxes(plan), state, for_s=plan.for_s)
+
+    async def cut_off(
+        self, boxes: Sequence[BoxProcess], state: LinkState, *, for_s: Seconds
+    ) -> None:
+        """Cut the paths of boxes to all targets for some seconds."""
         cut_off = CutOff(frozenset(box.caller_address for box in boxes), self._loop.time())
         self.cuts.append(cut_off)
         self._fleet.cut_paths({box.ip: state for box in boxes})
-        await asyncio.sleep(plan.for_s)
+        await asyncio.sleep(for_s)
         self._fleet.cut_paths({box.ip: LinkState.PASS for box in boxes})
         cut_off.end = self._loop.time()
 
@@ -303,22 +308,23 @@
         for box in boxes:
             box.send_signal(signal.SIGCONT)
 
-    async def _stop_boxes(self, plan: FaultPlan) -> None:
-        async def stop(box: BoxProcess) -> None:
-            box.send_signal(signal.SIGTERM)
-            box_stop = BoxStop(box.name, self._loop.time())
-            self.stops.append(box_stop)
-            await box.wait_not_ready()
-            box_stop.not_ready_at = self._loop.time()
-            await box.wait_exit()
-            box.start()
-            await box.wait_ready()
+    async def restart_box(self, box: BoxProcess) -> None:
+        """Tell a box to stop, start it again once it has, and wait until it is ready."""
+        box.send_signal(signal.SIGTERM)
+        box_stop = BoxStop(box.name, self._loop.time())
+        self.stops.append(box_stop)
+        await box.wait_not_ready()
+        box_stop.not_ready_at = self._loop.time()
+        await box.wait_exit()
+        box.start()
+        await box.wait_ready()
 
+    async def _stop_boxes(self, plan: FaultPlan) -> None:
         # If the scenario ends during the stops, the group cancels the tasks that wait for a box
         # to exit; otherwise they would start it again.
         async with asyncio.TaskGroup() as stops:
             for box in self._sample_boxes(plan):
-                stops.create_task(stop(box))
+                stops.create_task(self.restart_box(box))
                 await asyncio.sleep(_STOP_INTERVAL_S)
 
     # Store
--- a/dunlinnotch/lab/fleet.py
+++ b/dunlinnotch/lab/fleet.py
@@ -70,6 +70,8 @@
         The service that each kind is routed to now.
     terminated : list of Target
         Targets that have stopped or crashed.
+    initial_source : pathlib.Path or None
+        Directory of the version that the boxes run at first; None for this one.
     """
 
     def __init__(self, scenario: Scenario, directory: Path) -> None:
@@ -85,6 +87,7 @@
         self.targets: list[Target] = []
         self._path_states: dict[str, LinkState] = {}
         self.terminated: list[Target] = []
+        self.initial_source: Path | None = None
         self.service_by_kind: dict[str, str] = {kind.name: kind.service for kind in scenario.kinds}
         self.route_changes: dict[str, list[tuple[Seconds, str]]] = {
             k.name: [] for k in scenario.kinds
@@ -108,6 +111,7 @@
         for number in range(1, self.scenario.boxes + 1):
             await self._add_box(number, seeds)
         for box in self.boxes:
+            box.source = self.initial_source
             box.start()
         try:
             await asyncio.gather(*(box.wait_ready() for box in self.boxes))
--- a/dunlinnotch/standins/users/box.py
+++ b/dunlinnotch/standins/users/box.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, ClassVar
 
 from dunlinnotch.errors import PlatformUnavailableError
+from dunlinnotch.standins.users import own_address
 from dunlinnotch.transport.stream.fetch import Fetcher
 
 if TYPE_CHECKING:
@@ -24,8 +25,6 @@
 _REQUEST_TIMEOUT_S = 5.0
 _CALLER_PORT, _READY_PORT, _CONTROL_PORT, _DIRECTORY_PORT = 8144, 8140, 8146, 8143
 _METRICS_PORT = 9464
-#: Module that runs a box's module with connections from the address of the box.
-_LAUNCHER = "dunlinnotch.standins.users.own_address"
 
 
 class BoxProcess:
@@ -43,6 +42,8 @@
     ----------
     module : str
         Module that the process runs; the same for all boxes.
+    source : pathlib.Path or None
+        Directory of another version of the program; None for this one.
     process : subprocess.Popen or None
         None until the box has been started.
     caller_address, readiness_address, directory_address, metrics_address : str
@@ -57,6 +58,7 @@
         self.ip = ip
         self.log_file = log
         self.settings_file = log.with_suffix(".conf")
+        self.source: Path | None = None
         self.process: subprocess.Popen[bytes] | None = None
         self.caller_address = f"{ip}:{_CALLER_PORT}"
         self.readiness_address = f"{ip}:{_READY_PORT}"
@@ -104,9 +106,14 @@
         if self.running:
             return
         environment = {**os.environ, "DUNLINNOTCH_NODE_FILE": str(self.settings_file)}
+        launcher = ["-m", own_address.__name__]
+        if self.source is not None:
+            # Another version may lack the launcher, and must not find modules beside it.
+            launcher = ["-P", str(own_address.__file__)]
+            environment["PYTHONPATH"] = str(self.source)
         with self.log_file.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", _LAUNCHER, self.ip, self.module],
+                [sys.executable, *launcher, self.ip, self.module],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -20,14 +20,17 @@
 from dunlinnotch.coordination.budgets.shares import ProbeShare
 from dunlinnotch.coordination.choosing.fresh_reports import FreshReportChooser
 from dunlinnotch.coordination.choosing.latency_model import LatencyModel
+from dunlinnotch.coordination.choosing.reach import TargetReach
 from dunlinnotch.coordination.choosing.saturation import Saturation
 from dunlinnotch.coordination.choosing.selector import TargetSelector
+from dunlinnotch.coordination.membership import mesh
 from dunlinnotch.coordination.membership.crash_gossip import CrashGossip
 from dunlinnotch.coordination.membership.mesh import STALE_S, Mesh
 from dunlinnotch.coordination.membership.pause_detector import PauseDetector
 from dunlinnotch.coordination.membership.peer_selector import PeerSelector
 from dunlinnotch.coordination.membership.rows import Membership
 from dunlinnotch.coordination.requests import idempotency
+from dunlinnotch.coordination.requests.assist import PeerAssistant
 from dunlinnotch.coordination.requests.crash_guard import CrashGuard
 from dunlinnotch.coordination.requests.drain import Drain
 from dunlinnotch.coordination.requests.forward import Forwarder
@@ -239,6 +242,26 @@
     return tokens
 
 
+def _refuse_no_peer_request(self, peer_request, caller_request):
+    return None
+
+
+def _believe_every_path(self, address, since):
+    pass
+
+
+async def _always_has_path(self, instance):
+    return True
+
+
+def _reaches_always(forwarding):
+    return True
+
+
+async def _retry_over_peers_without_budget(self, run, kind, peer):
+    return await self._peer_path.attempt(run, kind, peer, may_send=lambda: True)
+
+
 def _count_known_boxes(known, **_):
     return known
 
@@ -352,6 +375,10 @@
     "tests/test_lab.py::test_a_scenario_with_a_past_violation_has_none"
     "[boxes-killed-while-targets-refuse]"
 )
+LAB_CUT_OFF = (
+    "tests/test_lab.py::test_a_scenario_with_a_past_violation_has_none[boxes-cut-off-from-targets]"
+)
+CUT_OFF = "tests/test_cut_off_box.py"
 CRASHING, CRASH_GOSSIP = "tests/test_crashing.py", "tests/test_crash_gossip.py"
 PEER_SELECTOR, SELECTOR = "tests/test_peer_selector.py", "tests/test_selector.py"
 BACKOFF, LEAVING = "tests/test_backoff.py", "tests/test_leaving_targets.py"
@@ -473,6 +500,42 @@
         "tests.box_with_full_budgets",
         LAB_RESTARTS,
     ),
+    Mutant(
+        "pass no request to a peer (lab)",
+        BoxProcess,
+        "module",
+        "tests.box_without_peers",
+        LAB_CUT_OFF,
+    ),
+    Mutant(
+        "believe that there is a path",
+        TargetReach,
+        "record_unreached",
+        _believe_every_path,
+        CUT_OFF,
+    ),
+    Mutant(
+        "send any request that comes from a peer",
+        PeerAssistant,
+        "_refusal",
+        _refuse_no_peer_request,
+        CUT_OFF,
+    ),
+    Mutant(
+        "retry over peers without a budget",
+        Forwarder,
+        "_attempt_through",
+        _retry_over_peers_without_budget,
+        CUT_OFF,
+    ),
+    Mutant(
+        "report targets that can't be reached as crashed",
+        CrashGuard,
+        "_has_path",
+        _always_has_path,
+        CUT_OFF,
+    ),
+    Mutant("offer boxes that are cut off", mesh, "_reaches_all", _reaches_always, CUT_OFF),
     Mutant("read the store on no box", Mesh, "is_reader", _never_read, "tests/test_mesh.py"),
     Mutant(
         "send no heartbeat to other places",
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -158,6 +158,38 @@
     run_with_link(test)
 
 
+def test_a_link_cuts_off_one_client_and_passes_the_others():
+    async def test(link, connect):
+        host, _, port = link.address.rpartition(":")
+
+        async def connect_from(ip):
+            return await asyncio.open_connection(host, int(port), local_addr=(ip, 0))
+
+        cut_reader, cut_writer = await connect_from("127.0.0.2")
+        reader, writer = await connect_from("127.0.0.3")
+        link.set_client_state("127.0.0.2", LinkState.SILENT)
+        for each in (cut_writer, writer):
+            each.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await cut_reader.readexactly(3)
+        link.set_client_state("127.0.0.2", LinkState.RESET_NEW)
+        # The open connection passes its bytes, and a new one is reset.
+        assert await cut_reader.readexactly(3) == b"one"
+        new_reader, _ = await connect_from("127.0.0.2")
+        with pytest.raises((OSError, asyncio.IncompleteReadError)):
+            await new_reader.readexactly(1)
+        link.set_client_state("127.0.0.2", LinkState.RESET)
+        with pytest.raises((OSError, asyncio.IncompleteReadError)):
+            await cut_reader.readexactly(1)
+        writer.write(b"two")
+        assert await reader.readexactly(3) == b"two"
+        writer.close()
+
+    run_with_link(test)
+
+
 def make_result(**changes):
     kind = KindResult("lookup", asked=10, in_time=8, late=1, failed=1, p50=5.0, p99=20.0)
     saved = ScenarioResult(
--- a/tests/test_lab_checker.py
+++ b/tests/test_lab_checker.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from dunlinnotch.lab.checker import BoxStop, FaultWindow, Guarantee, Observations, find_violations
+from dunlinnotch.lab.checker import (
+    BoxStop,
+    CutOff,
+    FaultWindow,
+    Guarantee,
+    Observations,
+    find_violations,
+)
 from dunlinnotch.lab.fleet import Target
 from dunlinnotch.lab.scenario import Bounds, FaultKind, KindPlan, Scenario, ServicePlan
 from dunlinnotch.standins.users.caller import AttemptOutcome, AttemptRecord
@@ -66,6 +73,7 @@
     crashing=(),
     abandoned=(),
     stops=(),
+    cuts=(),
 ):
     """Return the guarantees that the checker finds violated."""
     route_changes = route_changes or {}
@@ -80,6 +88,7 @@
         crashing,
         abandoned,
         stops,
+        cuts,
     )
     return [violation.guarantee for violation in find_violations(observations)]
 
@@ -421,3 +430,52 @@
     assert check([make_attempt("a1", sent=15.0)], [target], route_changes=route_changes) == [
         Guarantee.SETTINGS
     ]
+
+
+def check_cut(*, served, failed, others=60, sent=14.0, windows=(), retried=0):
+    """Check a cut from 10 to 20 s with first attempts at the box cut off and at another one."""
+    target, attempts = make_target(), []
+
+    def add(count, box, *, succeeded, request=None):
+        for _ in range(count):
+            name = f"r{len(attempts)}"
+            status = 200 if succeeded else 503
+            number = len(attempts) if request is None else request
+            record = make_attempt(name, request=number, sent=sent, box=box, status=status)
+            attempts.append(record)
+            if succeeded:
+                add_run(target, name, arrived=sent)
+
+    add(served, BOX, succeeded=True)
+    add(failed, BOX, succeeded=False)
+    add(others, "127.0.0.1:2", succeeded=True)
+    for number in range(served, served + retried):
+        add(1, "127.0.0.1:2", succeeded=True, request=number)
+    cut = CutOff(frozenset({BOX}), 10.0, 20.0)
+    return check(attempts, [target], cuts=[cut], windows=[CUT_WINDOW, *windows])
+
+
+CUT_WINDOW = FaultWindow(FaultKind.BOX_CUT_OFF, 10.0, 20.0)
+
+
+@pytest.mark.parametrize(
+    ("counts", "violated"),
+    [
+        ({"served": 0, "failed": 30}, True),
+        ({"served": 29, "failed": 20}, True),
+        ({"served": 41, "failed": 20}, False),  # two thirds of the others' share
+        ({"served": 0, "failed": 11}, False),  # no more than 10 and one in 50
+        ({"served": 0, "failed": 30, "retried": 30}, True),  # only first attempts count
+        ({"served": 0, "failed": 30, "sent": 12.9}, False),  # before contact has passed
+        ({"served": 0, "failed": 30, "sent": 20.1}, False),
+    ],
+)
+def test_callers_of_boxes_cut_off_must_be_served_like_others(counts, violated):
+    assert check_cut(**counts) == ([Guarantee.CUT_OFF] if violated else [])
+
+
+def test_another_unplanned_fault_excuses_callers_of_boxes_cut_off():
+    kill = FaultWindow(FaultKind.BOX_KILL, 9.0, 11.0)
+    burst = FaultWindow(FaultKind.BURST, 9.0, 21.0)
+    assert check_cut(served=0, failed=30, windows=[kill]) == []
+    assert check_cut(served=0, failed=30, windows=[burst]) == [Guarantee.CUT_OFF]
