Let a request wait for a target at one peer only

Where targets are full, a request passed on waited at up to three peers in turn, a fifth of its target latency at each, before its caller was refused. Once that time has passed, the refusal of a peer is the last. test_request_waits_for_a_target_at_one_peer_only failed before (two peers). Also drops PeerClient.keep_only, which nothing called.

--- a/dunlinnotch/coordination/requests/forward.py
+++ b/dunlinnotch/coordination/requests/forward.py
@@ -400,4 +400,8 @@
             return False
         if ended.reason is Reason.CONNECT_FAILED and self._peer_path.is_hopeless(run):
             return False
+        queue_deadline = run.request.arrived + kind.target_latency * QUEUE_LATENCY_FRACTION
+        if ended.reason is Reason.QUEUE_FULL and self._loop.time() >= queue_deadline:
+            # It has waited at a peer; waiting at another as well would hold the caller for nothing.
+            return False
         return kind.idempotent or not run.may_have_run
--- a/dunlinnotch/transport/stream/peer_client.py
+++ b/dunlinnotch/transport/stream/peer_client.py
@@ -87,10 +87,6 @@
         """Number of connections opened so far."""
         return self._client.opened
 
-    def keep_only(self, addresses: set[Address]) -> None:
-        """Close idle connections to all other peers."""
-        self._client.close_others(addresses)
-
     async def attempt(
         self,
         address: Address,
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -286,6 +286,23 @@
     with_cut_off_box(test, boxes=2)
 
 
+def test_request_waits_for_a_target_at_one_peer_only():
+    async def test(world, paths, box):
+        for worker in world.workers:
+            worker.settings.work_s = 30.0
+        slots = sum(worker.settings.slots for worker in world.workers)
+        busy = [asyncio.create_task(call(world.boxes[1], "/read/a", f"b{n}")) for n in range(slots)]
+        await until(lambda: len(world.ran) >= slots)
+        before = box.peer_path.forwarded
+        assert (await call(box, "/read/a", "late")).status == 503
+        assert box.peer_path.forwarded == before + 1
+        for task in busy:
+            task.cancel()
+        await asyncio.gather(*busy, return_exceptions=True)
+
+    with_cut_off_box(test, workers=2)
+
+
 @pytest.mark.parametrize("header", ["", f"{PEER_REQUEST}: x", f"{PEER_REQUEST}: lAE="])
 def test_request_from_elsewhere_can_not_use_the_way_between_boxes(header):
     async def test():
