--- a/dunlinnotch/coordination/choosing/fresh_reports.py
+++ b/dunlinnotch/coordination/choosing/fresh_reports.py
@@ -20,9 +20,10 @@
     from dunlinnotch.state.target_status import TargetStatus
     from dunlinnotch.types import Seconds
 
-#: Age up to which a report needs no new probe, in seconds.
+#: Age up to which a report needs no new probe, in seconds: it is as good as a new one.
 MAX_FRESH_AGE_S = 0.012
-#: Age up to which a report is used at all, in seconds.
+#: Age up to which a report is used at all, in seconds: it says something of a target's
+#: latency for about this long.
 MAX_REPORT_AGE_S = 0.3
 #: Expected latency ratio up to which a request is sent without looking for a better target.
 MAX_GOOD_RATIO = 1.35
--- a/dunlinnotch/coordination/choosing/latency_model.py
+++ b/dunlinnotch/coordination/choosing/latency_model.py
@@ -14,16 +14,18 @@
 if TYPE_CHECKING:
     from dunlinnotch.types import Seconds
 
-#: Number of utilisation steps for which a slowdown is learnt.
+#: Number of utilisation steps for which a slowdown is learnt: tenths of the slots.
 _UTILISATION_STEPS = 10
-#: Utilisation above which a slowdown is assumed until answers are known, and that slowdown.
+#: Utilisation above which a slowdown is assumed until answers are known, and that slowdown:
+#: the last fifth of the slots is taken to be slow (``docs/design/overload.md``).
 _PRIOR_SLOWDOWN_ABOVE, _PRIOR_SLOWDOWN = 0.8, 1.7
 #: Weight of the assumed slowdown, in answers.
 _PRIOR_ANSWERS = 4
-#: Minimum weight of a new answer, so that estimates keep following changes.
+#: Minimum weight of a new answer, so that estimates follow changes within some 20 answers.
 _MIN_GAIN = 0.05
 #: Share of requests sent to explore a utilisation step taken to be slow, without answers
-#: and with many.  A step that is never explored is never learnt.
+#: and with many.  A step that is never explored is never learnt, but each such request may
+#: take longer.
 _EXPLORE_UNKNOWN, _EXPLORE_KNOWN = 0.03, 0.01
 #: Latency ratio at which a single answer is capped, so that outliers count less.
 _MAX_RATIO = 5.0
--- a/dunlinnotch/coordination/choosing/saturation.py
+++ b/dunlinnotch/coordination/choosing/saturation.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from dunlinnotch.types import Clock, Seconds
 
-#: Weight of a new probe result in the share.
+#: Weight of a new probe result in the share.  A box gets 10 to 40 results a second.
 _GAIN = 0.1
 #: Time without a probe result after which the share counts as 0, in seconds.
 _MAX_AGE_S = 1.0
--- a/dunlinnotch/coordination/choosing/selector.py
+++ b/dunlinnotch/coordination/choosing/selector.py
@@ -40,7 +40,8 @@
 #: Interval between two probes of one target, in seconds.
 _MIN_PROBE_INTERVAL_S = 0.015
 #: Time without a good target in a service after which a request may go to a target where
-#: it ends after its target latency, but within its timeout, in seconds.
+#: it ends after its target latency, but within its timeout, in seconds.  It is longer than
+#: a target that shares its machine with others is slow at a time.
 _LATE_ALLOWED_AFTER_S = 0.5
 #: Time after which an unanswered probe no longer counts against the limit of concurrent
 #: probes, in seconds: several round trips between places.
--- a/dunlinnotch/coordination/membership/crash_gossip.py
+++ b/dunlinnotch/coordination/membership/crash_gossip.py
@@ -52,7 +52,8 @@
 #: Time after which a new box serves without crash records, in seconds: failed reads of
 #: this table alone must not stop the service.
 _SYNC_TIMEOUT_S = 2.0
-#: Interval between reads of the store while some place has no live box, in seconds.
+#: Interval between reads of the store while some place has no live box, in seconds: well
+#: under the time within which all boxes must know of a quarantine.
 _PARTITION_READ_INTERVAL_S = 1.5
 #: Delay after a failed call to the store, in seconds.
 _RETRY_DELAY_S = 0.4
--- a/dunlinnotch/coordination/membership/pause_detector.py
+++ b/dunlinnotch/coordination/membership/pause_detector.py
@@ -12,8 +12,8 @@
 
     from dunlinnotch.types import Clock, Seconds
 
-#: Time between two checks above which the box counts as paused, in seconds.  Well above the
-#: usual interval, and well below the age at which tables are stale.
+#: Time between two checks above which the box counts as paused, in seconds: ten times the
+#: usual interval, and under a quarter of the age at which tables are stale.
 PAUSE_THRESHOLD_S = 0.5
 #: Time after which a resumed box works by an outdated view, in seconds: an unavailable store
 #: or peers must not stop a box.  Long enough for two heartbeats of each peer.
--- a/dunlinnotch/coordination/membership/peer_selector.py
+++ b/dunlinnotch/coordination/membership/peer_selector.py
@@ -19,7 +19,8 @@
     from dunlinnotch.protocol.mesh import Heartbeat
 
 #: Largest number of other boxes with which each box sends to all others.  Low, as traffic
-#: between places is expensive.
+#: between places is expensive: of 17 boxes in three places, two thirds of what each sends
+#: would go to other places.
 MAX_FULL_MESH = 8
 #: Largest number of live boxes with which a new box is introduced to all of them.
 _MAX_INTRODUCE_ALL = 32
--- a/dunlinnotch/coordination/requests/first_attempts.py
+++ b/dunlinnotch/coordination/requests/first_attempts.py
@@ -9,7 +9,8 @@
 if TYPE_CHECKING:
     from dunlinnotch.types import Seconds
 
-#: Last requests of a kind that are considered.
+#: Last requests of a kind that are considered, some seconds' worth at a box, and how many
+#: new ones lead to a new estimate.
 _WINDOW_REQUESTS = 64
 _UPDATE_EVERY_REQUESTS = 8
 #: Stated times that are equal when rounded to this count as the same.
--- a/dunlinnotch/coordination/settings/store_tables.py
+++ b/dunlinnotch/coordination/settings/store_tables.py
@@ -26,7 +26,8 @@
 #: likely the list than the targets.
 _MASS_DISAPPEARANCE_SHARE = 0.34
 #: Grace period in which targets with missing rows are kept as a last resort.  Targets write
-#: expired rows again within about two seconds after the store returns.
+#: expired rows again within about two seconds after the store returns; what is missing then
+#: is gone.
 MISSING_GRACE_S = 2.2
 #: Limits for text in log lines that other writers of the store control.
 _MAX_LOGGED_KEY_CHARS, _MAX_LOGGED_DETAIL_CHARS = 80, 300
