Weigh only recent failures when judging whether a service is out of reach

A target that ended counted as unreached until its row went, those heard only for 3 s: a box that sends little could take two ended targets and one quiet moment for a cut, and pass its requests on. Both now count for 3 s; while a box is cut off, its probes keep the count fresh. test_targets_that_ended_long_ago_do_not_outweigh_the_few_heard_lately failed before.

--- a/dunlinnotch/coordination/choosing/reach.py
+++ b/dunlinnotch/coordination/choosing/reach.py
@@ -18,8 +18,9 @@
     from dunlinnotch.state.instances import Instance, InstanceList
     from dunlinnotch.types import Address, Clock, Seconds
 
-#: Time for which a target counts as reached after it was last heard, in seconds.
-_REACHED_FOR_S = 3.0
+#: Time for which a target counts, after it was last heard or could last not be reached, in
+#: seconds.  A box that sends little would else weigh one target that ended against few others.
+_COUNTED_FOR_S = 3.0
 #: Fewest targets that can't be reached at once if the path is cut; one alone has failed.
 _MIN_UNREACHED = 2
 #: Number of other targets that are tried before a target is believed to be gone.
@@ -48,23 +49,23 @@
         self._instances = instances
         self._clock = clock
         self._reached_at: dict[Address, Seconds] = {}
-        self._unreached_since: dict[Address, Seconds] = {}
+        self._unreached_at: dict[Address, Seconds] = {}
         #: Services that were cut off at the last :meth:`update`.
         self.cut_off: frozenset[str] = frozenset()
 
     def record_heard(self, address: Address) -> None:
         """Record that bytes arrived from a target."""
         self._reached_at[address] = self._clock()
-        self._unreached_since.pop(address, None)
+        self._unreached_at.pop(address, None)
 
     def record_unreached(self, address: Address, since: Seconds) -> None:
         """Record that a target could not be reached, unless it was heard meanwhile."""
         if self._reached_at.get(address, float("-inf")) < since:
-            self._unreached_since.setdefault(address, self._clock())
+            self._unreached_at[address] = self._clock()
 
     def is_unreached(self, instance: Instance) -> bool:
         """Return whether a target has not been heard since it could not be reached."""
-        return instance.address in self._unreached_since
+        return instance.address in self._unreached_at
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether this box reaches less than half of a service's targets that it tried.
@@ -73,7 +74,7 @@
         -----
         Targets whose rows are missing are left out: they have probably stopped.
         """
-        if not self._unreached_since:
+        if not self._unreached_at:
             return False
         unreached, reached = self._count(service)
         return unreached >= min(_MIN_UNREACHED, max(1, self._listed(service))) and (
@@ -96,11 +97,11 @@
     @property
     def unreached_count(self) -> int:
         """Number of targets that this box can't reach."""
-        return len(self._unreached_since)
+        return len(self._unreached_at)
 
     def retain(self, addresses: set[Address]) -> None:
         """Forget all other addresses."""
-        for known in (self._reached_at, self._unreached_since):
+        for known in (self._reached_at, self._unreached_at):
             for address in known.keys() - addresses:
                 del known[address]
 
@@ -128,17 +129,17 @@
 
     def _count(self, service: str) -> tuple[int, int]:
         """Return how many targets of a service this box does not reach, and does."""
-        reached_from = self._clock() - _REACHED_FOR_S
+        counted_from = self._clock() - _COUNTED_FOR_S
         unreached = reached = 0
         for instance in self._instances.for_service(service):
             if instance.missing_since is not None:
                 continue
-            if instance.address in self._unreached_since:
-                unreached += 1
-            elif self._reached_at.get(instance.address, float("-inf")) > reached_from:
-                reached += 1
+            if instance.address in self._unreached_at:
+                unreached += self._unreached_at[instance.address] > counted_from
+            else:
+                reached += self._reached_at.get(instance.address, float("-inf")) > counted_from
         return unreached, reached
 
     def _news_at(self, address: Address) -> Seconds:
-        since = self._unreached_since.get(address, float("-inf"))
+        since = self._unreached_at.get(address, float("-inf"))
         return max(since, self._reached_at.get(address, float("-inf")))
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -62,6 +62,15 @@
     assert world.reach.is_cut_off("loans")
 
 
+def test_targets_that_ended_long_ago_do_not_outweigh_the_few_heard_lately():
+    world = Reach()
+    world.record("loans", unreached=(0, 1))
+    world.now += 4.0
+    world.record("loans", reached=(3,))
+    assert not world.reach.is_cut_off("loans")
+    assert world.reach.unreached_count == 2
+
+
 def test_targets_whose_rows_are_missing_are_not_counted():
     world = Reach()
     world.record("loans", reached=(0,), unreached=(1, 2))
