Read results of peers whose reason a later version added

Such a result was rejected whole, and a request that had reached no target ended as unknown. test_reason_that_a_later_version_added_is_not_known failed before (ProtocolError).

--- a/dunlinnotch/protocol/peer_forward.py
+++ b/dunlinnotch/protocol/peer_forward.py
@@ -186,7 +186,7 @@
             target=str(fields[2]),
             crashed=str(fields[3]),
             status=int(fields[4]),
-            reason=None if fields[5] is None else Reason(fields[5]),
+            reason=_read_reason(fields[5]),
             detail=str(fields[6]),
         )
     except (TypeError, ValueError, OverflowError) as error:
@@ -194,6 +194,14 @@
         raise ProtocolError(msg) from None
 
 
+def _read_reason(value: Any) -> Reason | None:  # noqa: ANN401 - checked here
+    """Return a reason; None for one that a later version may have added."""
+    try:
+        return Reason(value)
+    except ValueError:
+        return None
+
+
 def _encode(fields: list[Any]) -> str:
     return base64.b64encode(msgpack.packb(fields)).decode("ascii")
 
--- a/tests/test_peer_forward.py
+++ b/tests/test_peer_forward.py
@@ -61,6 +61,11 @@
     assert read_peer_result([peer_result_header(result), Header("x", "y")]) == result
 
 
+def test_reason_that_a_later_version_added_is_not_known():
+    fields = [1, "unknown", "i-1", "", 0, "a-later-reason", ""]
+    assert read_peer_result([_header(PEER_RESULT, fields)]).reason is None
+
+
 def _header(name, fields):
     return Header(name, base64.b64encode(msgpack.packb(fields)).decode())
 
