--- a/dunlinnotch/coordination/requests/assist.py
+++ b/dunlinnotch/coordination/requests/assist.py
@@ -64,13 +64,16 @@
     Parameters
     ----------
     reply : ReplyPort
-    target_name : callable
-        Returns the name of the target that answers.
+
+    Attributes
+    ----------
+    run : Run or None
+        The request; None until it is accepted.
     """
 
-    def __init__(self, reply: ReplyPort, *, target_name: Callable[[], str]) -> None:
+    def __init__(self, reply: ReplyPort) -> None:
         self._reply = reply
-        self._target_name = target_name
+        self.run: Run | None = None
 
     @property
     def begun(self) -> bool:
@@ -100,7 +103,7 @@
         self._reply.reply(status, [peer_result_header(result)], b"")
 
     def _with_result(self, headers: Sequence[Header]) -> list[Header]:
-        result = PeerResult(PeerOutcome.ANSWERED, self._target_name())
+        result = PeerResult(PeerOutcome.ANSWERED, _target_of(self.run))
         return [peer_result_header(result), *headers]
 
 
@@ -169,52 +172,34 @@
         read_request : callable
             Returns the caller's request, by its headers.
         """
-        run: Run | None = None
-        peer_reply = _PeerReply(reply, target_name=lambda: _target_of(run))
+        peer_reply = _PeerReply(reply)
         try:
             peer_request = read_peer_request(headers)
         except ProtocolError as error:
             event(_log, "peer-request-unreadable", level=logging.WARNING, detail=str(error))
             peer_reply.send_result(_refusal(Reason.HEAD_INVALID, "unreadable"), status=400)
             return
-        caller_request = read_request()
-        refusal = self._refusal(peer_request, caller_request)
-        if refusal is not None or caller_request is None:
+        refusal = self._refusal(peer_request)
+        caller_request = None if refusal is not None else read_request()
+        if caller_request is None:
+            refusal = refusal or _refusal(Reason.HEAD_INVALID, "the caller's head is invalid")
             event(
                 _log,
                 "peer-request-refused",
                 sender=peer_request.sender,
                 service=peer_request.service,
-                detail=refusal.detail if refusal else "",
+                detail=refusal.detail,
             )
-            peer_reply.send_result(refusal or _refusal(Reason.HEAD_INVALID, "invalid head"))
+            peer_reply.send_result(refusal)
             return
-        arrived = caller_request.arrived
-        run = Run(
-            replace(
-                caller_request,
-                headers=tuple(headers[1:]),
-                deadline=arrived + peer_request.remaining,
-                caller=peer_request.caller,
-            ),
-            BufferedBody(parts),
-            peer_reply,
-            split_point=0.0,
-            first_attempt_at=arrived - peer_request.waited,
-            kind=_kind(peer_request),
-            service=peer_request.service,
-            tried_instances=set(peer_request.tried),
-        )
+        request = replace(caller_request, headers=tuple(headers[1:]), caller=peer_request.caller)
+        run = _make_run(peer_request, request, BufferedBody(parts), peer_reply)
         await self._serve(run, peer_request, peer_reply)
 
-    def _refusal(
-        self, peer_request: PeerRequest, caller_request: CallerRequest | None
-    ) -> PeerResult | None:
+    def _refusal(self, peer_request: PeerRequest) -> PeerResult | None:
         """Return why a request is not served, or None."""
         if not hmac.compare_digest(peer_request.key, self._key):
             return _refusal(Reason.CUT_OFF, "the key is not that of this process")
-        if caller_request is None:
-            return _refusal(Reason.HEAD_INVALID, "the caller's head is invalid")
         if not self._accepts_work():
             return _refusal(Reason.BOX_DRAINED, "the box takes no new requests")
         if self._in_flight >= _MAX_ASSISTED:
@@ -306,6 +291,24 @@
         )
 
 
+def _make_run(
+    peer_request: PeerRequest, request: CallerRequest, body: BufferedBody, reply: _PeerReply
+) -> Run:
+    """Return the state of an accepted request."""
+    run = Run(
+        replace(request, deadline=request.arrived + peer_request.remaining),
+        body,
+        reply,
+        split_point=0.0,
+        first_attempt_at=request.arrived - peer_request.waited,
+        kind=_kind(peer_request),
+        service=peer_request.service,
+        tried_instances=set(peer_request.tried),
+    )
+    reply.run = run
+    return run
+
+
 def _kind(peer_request: PeerRequest) -> RequestKind:
     """Return the request kind as the sender matched it, with a single attempt."""
     return RequestKind(
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -242,7 +242,7 @@
     return tokens
 
 
-def _refuse_no_peer_request(self, peer_request, caller_request):
+def _refuse_no_peer_request(self, peer_request):
     return None
 
 
