Check the path to targets without a health check too

A box that is cut off learnt only by probes that it still is, or no longer. Where a service has no health check, its failures were 3 s old after 3 s, and the box took the path for good again. test_path_to_targets_without_a_health_check_is_checked_too failed before.

--- a/dunlinnotch/coordination/choosing/selector.py
+++ b/dunlinnotch/coordination/choosing/selector.py
@@ -151,10 +151,18 @@
             self._targets.release(instance.address, selection.probe)
 
     async def probe_now(self, instance: Instance) -> None:
-        """Probe a target although no request waits, if its probe budget allows it."""
+        """Probe a target although no request waits, if its probe budget allows it.
+
+        Notes
+        -----
+        Of a target without a health check, only the path to it is checked.
+        """
         path = self._probe_path(instance.listed.service)
+        if not path:
+            await self._targets.check_path(instance.address)
+            return
         queue = self._queue(instance.listed.service)
-        if path and instance not in queue.probing and self._probes.try_spend(instance.name):
+        if instance not in queue.probing and self._probes.try_spend(instance.name):
             queue.probing.add(instance)
             await self._probe(queue, instance, path)
 
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -378,6 +378,21 @@
     run(test)
 
 
+def test_path_to_targets_without_a_health_check_is_checked_too():
+    async def test(world, paths, box):
+        box.selector._probe_path = lambda service: ""
+        box.reach._unreached_at.clear()
+        target = box.instances.for_service("loans")[0]
+        await box.selector.probe_now(target)
+        assert box.reach.is_unreached(target)
+        paths.heal(box)
+        before = box.probes.spent
+        await box.selector.probe_now(target)
+        assert box.probes.spent == before
+
+    with_cut_off_box(test)
+
+
 def test_box_serves_from_here_again_when_the_path_is_back():
     async def test(world, paths, box):
         assert box.mesh.forwarding.unreached == ("loans",)
