--- a/dunlinnotch/lab/upgrade.py
+++ b/dunlinnotch/lab/upgrade.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import sys
 import tempfile
 from collections import Counter
@@ -24,12 +25,13 @@
 from dunlinnotch.lab.report import ScenarioResult, format_result, summarise
 from dunlinnotch.lab.run import LoadGenerator
 from dunlinnotch.lab.scenario import KindPlan, Scenario, ServicePlan
-from dunlinnotch.standins.users.caller import AttemptRecord
+from dunlinnotch.standins.users.caller import CallerRequestPlan, CallerStandin
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from dunlinnotch.standins.users.box import BoxProcess
+    from dunlinnotch.standins.users.caller import AttemptRecord
 
 #: Interval between the starts of two replacements, in seconds.
 _REPLACE_INTERVAL_S = 3.5
@@ -150,40 +152,30 @@
         await asyncio.sleep(_CUT_AT_S[self._direction])
         assert box.source is None
         path_cut = asyncio.ensure_future(injector.cut_off([box], self._cut, for_s=_CUT_S))
+        caller = CallerStandin(
+            box.zone,
+            HOST,
+            directories=lambda zone: (),
+            next_id=lambda: f"d{len(self._asked) + 1}",
+            rng=random.Random(_SCENARIO.seed),
+            keep_alive=False,
+            only_box=box.caller_address,
+        )
         began = loop.time()
         while loop.time() < began + _CUT_S:
-            status = await self._ask(box)
+            number = -1 - len(self._asked)
+            path = f"{path_prefix(_SCENARIO.kinds[0])}direct{number}"
+            request = CallerRequestPlan(
+                _SCENARIO.kinds[0].name, "GET", path, b"", True, timeout=_DEADLINE_S, retries=0
+            )
+            attempts = await caller.request(number, request)
+            self._asked += attempts
             if loop.time() > began + _SCENARIO.bounds.contact:
-                self._statuses.append(status)
+                self._statuses += [attempt.status for attempt in attempts]
             await asyncio.sleep(_ASK_INTERVAL_S)
         await path_cut
         assert box.source is None
 
-    async def _ask(self, box: BoxProcess) -> int:
-        """Send one request to a box and return the status of its answer."""
-        number = len(self._asked) + 1
-        kind = _SCENARIO.kinds[0]
-        path = f"{path_prefix(kind)}direct-{number}"
-        now = asyncio.get_running_loop().time()
-        record = AttemptRecord(
-            -number, f"d{number}", kind.name, box.caller_address, "GET", path, now
-        )
-        record.deadline = now + _DEADLINE_S
-        self._asked.append(record)
-        host, _, port = box.caller_address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            lines = [
-                f"GET {path} HTTP/1.1",
-                f"Host: {HOST}",
-                f"Attempt-Id: {record.id}",
-                f"Deadline-Ms: {_DEADLINE_S * 1000:.0f}",
-            ]
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-            return int((await reader.readline()).split()[1])
-        finally:
-            writer.close()
-
 
 def _report(result: UpgradeResult) -> bool:
     """Print a result; return whether all went well."""
--- a/dunlinnotch/standins/users/caller.py
+++ b/dunlinnotch/standins/users/caller.py
@@ -143,6 +143,9 @@
     rng : random.Random
     keep_alive : bool
         Whether the connection is reused for the next request.
+    only_box : str, optional
+        The only box that the caller uses, as one does that keeps an old address; no
+        addresses are looked up then.
 
     Attributes
     ----------
@@ -159,6 +162,7 @@
         next_id: Callable[[], str],
         rng: random.Random,
         keep_alive: bool,
+        only_box: Address | None = None,
     ) -> None:
         self._zone = zone
         self._host = host
@@ -167,8 +171,8 @@
         self._rng = rng
         self._keep_alive = keep_alive
         self._loop = asyncio.get_running_loop()
-        self._addresses: list[Address] = []
-        self._addresses_expire_at: Seconds = 0.0
+        self._addresses: list[Address] = [] if only_box is None else [only_box]
+        self._addresses_expire_at: Seconds = 0.0 if only_box is None else math.inf
         self._idle_connection: tuple[Address, asyncio.StreamReader, asyncio.StreamWriter] | None = (
             None
         )
