--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -2,8 +2,9 @@
 
 ``python3 review/worker_2.py --name i-00000001``.  Prints ``listens PORT`` and then a line for
 each request that it runs.  ``--endless``: from ``--after-s`` on, its answers have no length and
-these bytes without end.  ``--copies N``: every Nth answer has no length, and before it closes
-the connection the worker sends the answer to the last health check there a second time.
+these bytes without end.  ``--unframed N``: every Nth answer has no length and ends with its
+connection; with ``--copies`` the worker sends, before it closes the connection, the answer to
+the last health check there a second time.
 """
 
 from __future__ import annotations
@@ -77,10 +78,10 @@
                     writer.write(part)
                     await writer.drain()
             whole = f"{self._options.name} ran {fields['attempt-id']}".encode()
-            if self._options.copies and next(self._answers) % self._options.copies == 0:
-                # Whole answer, then one that belongs to no request, then the end.
+            if self._options.unframed and next(self._answers) % self._options.unframed == 0:
+                # Whole answer, then perhaps one that belongs to no request, then the end.
                 head = self._answer(200, attempt, seal, "Connection: close", body=None)
-                writer.write(head + whole + health)
+                writer.write(head + whole + (health if self._options.copies else b""))
                 return False
             writer.write(self._answer(200, attempt, seal, body=whole))
             return True
@@ -105,7 +106,8 @@
     parser.add_argument("--work-ms", type=float, default=50.0)
     parser.add_argument("--endless", default="")
     parser.add_argument("--after-s", type=float, default=0.0)
-    parser.add_argument("--copies", type=int, default=0)
+    parser.add_argument("--unframed", type=int, default=0)
+    parser.add_argument("--copies", action="store_true")
     worker = Worker(parser.parse_args())
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
     print("listens", server.sockets[0].getsockname()[1], flush=True)
