Review, case 4: a body is dropped if the request offers an upgrade

Tried: requests with Connection: Upgrade and Upgrade: h2c, as HTTP/1.1 allows, by one client of five.

--- a/review/common_2.py
+++ b/review/common_2.py
@@ -183,7 +183,11 @@
 def _copy(process: subprocess.Popen[bytes], name: str, record: Record) -> None:
     assert process.stdout is not None
     for line in process.stdout:
-        record.line(f"worker {name}: {line.decode().strip()}")
+        text = line.decode().strip()
+        record.line(f"worker {name}: {text}")
+        if text.startswith("run "):
+            _, attempt, crc, _, rest = text.split(" ", 4)
+            record.runs.setdefault(attempt, []).append((crc, rest))
 
 
 def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
@@ -220,6 +224,7 @@
     deadline_ms: int = 4000,
     wait_s: float | None = None,
     keep: bool = True,
+    headers: str = "",
 ) -> Seen:
     """Send one request on a new connection and wait for its whole answer."""
     seen = Seen(
@@ -231,7 +236,7 @@
             reader, writer = await asyncio.open_connection(*box.front)
             head = (
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {seen.id}\r\n"
-                f"Deadline-Ms: {deadline_ms}\r\n"
+                f"Deadline-Ms: {deadline_ms}\r\n{headers}"
             )
             if body or method != "GET":
                 head += f"Content-Length: {len(body)}\r\n"
@@ -282,6 +287,8 @@
         self._file = path.open("w", encoding="utf-8")
         self._began = time.monotonic()
         self._lock = threading.Lock()
+        #: By the id of the client attempt, the CRC of the body and the request line of each run.
+        self.runs: dict[str, list[tuple[str, str]]] = {}
 
     def line(self, text: str) -> None:
         """Write one line, with the seconds since the start."""
--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -1,10 +1,12 @@
 """A worker as a process of its own, as PROTOCOL.md describes it, with faults on order.
 
-``python3 review/worker_2.py --name i-00000001``.  Prints ``listens PORT`` and then a line for
-each request that it runs.  ``--endless``: from ``--after-s`` on, its answers have no length and
-these bytes without end.  ``--unframed N``: every Nth answer has no length and ends with its
-connection; with ``--copies`` the worker sends, before it closes the connection, the answer to
-the last health check there a second time.
+``python3 review/worker_2.py --name i-00000001``.  Prints ``listens PORT`` and then, for each
+request that it runs, its id, the CRC and the length of its body, and its request line.
+
+``--endless``: from ``--after-s`` on, its answers have no length and these bytes without end.
+``--unframed N``: every Nth answer has no length and ends with its connection; with ``--copies``
+the worker sends, before it closes the connection, the answer to the last health check there a
+second time.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 import argparse
 import asyncio
 import itertools
+import zlib
 
 SLOTS = 6
 _PART_BYTES = 64 * 1024
@@ -67,7 +70,7 @@
             writer.write(self._answer(503, attempt, "Not-Executed: 1"))
             return True
         self._running += 1
-        print(f"run {fields['attempt-id']} {line} {len(body)}", flush=True)
+        print(f"run {fields['attempt-id']} {zlib.crc32(body):08x} {len(body)} {line}", flush=True)
         try:
             await asyncio.sleep(self._options.work_ms / 1000)
             seal = f"Response-Seal: seal-{fields['attempt-id']}"
