Review, case 7: the rest of a cut answer is filled with the next one's head

Tried: answers with Connection: close and a length that are cut short, and sent once more before the connection closes. Seen: each becomes a success with the right length and a wrong body, 12 to 15 of about 1,445.

--- a/review/worker_2.py
+++ b/review/worker_2.py
@@ -7,6 +7,8 @@
 ``--unframed N``: every Nth answer has no length and ends with its connection; with ``--copies``
 the worker sends, before it closes the connection, the answer to the last health check there a
 second time.
+``--last N``: every Nth answer says ``Connection: close`` and is the last of its connection; with
+``--cut`` it is cut short, and the same answer follows once more, whole.
 """
 
 from __future__ import annotations
@@ -86,6 +88,11 @@
                 head = self._answer(200, attempt, seal, "Connection: close", body=None)
                 writer.write(head + whole + (health if self._options.copies else b""))
                 return False
+            if self._options.last and next(self._answers) % self._options.last == 0:
+                answer = self._answer(200, attempt, seal, "Connection: close", body=whole)
+                cut = answer[: -len(whole) // 2] if self._options.cut else b""
+                writer.write(cut + answer)
+                return False
             writer.write(self._answer(200, attempt, seal, body=whole))
             return True
         finally:
@@ -111,6 +118,8 @@
     parser.add_argument("--after-s", type=float, default=0.0)
     parser.add_argument("--unframed", type=int, default=0)
     parser.add_argument("--copies", action="store_true")
+    parser.add_argument("--last", type=int, default=0)
+    parser.add_argument("--cut", action="store_true")
     worker = Worker(parser.parse_args())
     server = await asyncio.start_server(worker.serve, "127.0.0.1", 0)
     print("listens", server.sockets[0].getsockname()[1], flush=True)
