--- a/review/common_2.py
+++ b/review/common_2.py
@@ -6,6 +6,7 @@
 import itertools
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -18,12 +19,12 @@
 from dunlinnotch.standins.users.store import StoreStandin
 
 if TYPE_CHECKING:
-    import signal
     from collections.abc import Callable, Coroutine
     from pathlib import Path
 
 HOST = "catalogue.example"
 PORTS = {"front": 8144, "readiness": 8140, "control": 8146, "directory": 8143}
+_MAX_BOXES = 8
 _ids = itertools.count(1)
 
 
@@ -32,9 +33,10 @@
     while True:
         subnet = f"127.{random.randrange(1, 255)}.{random.randrange(255)}"
         try:
-            for port in (*PORTS.values(), 7660, 7661, 9464):
-                with socket.socket() as sock:
-                    sock.bind((f"{subnet}.1", port))
+            for number in range(1, _MAX_BOXES + 1):
+                for port in (*PORTS.values(), 7660, 7661, 9464):
+                    with socket.socket() as sock:
+                        sock.bind((f"{subnet}.{number}", port))
         except OSError:
             continue
         return subnet
@@ -191,14 +193,24 @@
 
 
 def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
-    """Run a case; return its exit status, 2 if it couldn't run."""
+    """Run a case; return its exit status, 2 if it couldn't run or was told to end."""
     try:
-        return asyncio.run(main())
+        return asyncio.run(_run_until_told(main))
+    except asyncio.CancelledError:
+        return 2
     except Exception:
         traceback.print_exc()
         return 2
 
 
+async def _run_until_told(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case; SIGTERM cancels it, so that the processes that it started end with it."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await main()
+
+
 @dataclass
 class Seen:
     """One client attempt and what its client saw; times in seconds of the script."""
