A cut answer isn't completed by the next one's bytes

Cause: a body counted as whole once its number of bytes had come. After a cut, these may be bytes of the next answer. What follows a body was looked at only in the same read, and only if the answer left the connection open; the claim's header, Connection: close, decides the second, not the fault.

Why this works: bodies of each framing are searched for heads. One that names a send of its connection ends the answer as cut. Any other status line, or the start of one at the end, makes the body doubtful: it is held back until the target has closed the connection with nothing more sent, or until another answer begins just there. A cut answer's gap is filled by at least the start of a status line, and the rest of that answer follows. The parser now goes on after Connection: close, so that what follows is judged alike.

--- a/dunlinnotch/transport/stream/client.py
+++ b/dunlinnotch/transport/stream/client.py
@@ -120,6 +120,7 @@
                 on_heard=functools.partial(self._on_heard, address),
                 on_unreached=functools.partial(self._on_unreached, address),
                 on_surplus=self._count_surplus,
+                named_send=self._dialect.named_send,
             )
         return pool
 
@@ -263,7 +264,7 @@
             length = request.length if buffered_body is None else len(buffered_body)
             head = request_head(request.method, request.path, headers, length=length)
             link.head_only = request.method == "HEAD"
-            link.begin_send(key)
+            link.begin_send(key, complete=buffered_body is not None)
             on_sent(link.position)
             if buffered_body is not None:
                 link.write(head + buffered_body)
@@ -420,3 +421,4 @@
         await link.flow_control.wait()
     if chunked:
         link.write(b"0\r\n\r\n")
+    link.finish_send()
--- a/dunlinnotch/transport/stream/link.py
+++ b/dunlinnotch/transport/stream/link.py
@@ -85,6 +85,7 @@
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._changed = asyncio.Event()
+        self._held = False
         self.done = False
         self.error = ""
 
@@ -96,9 +97,16 @@
             self._link.pause_reading()
         self._changed.set()
 
+    def hold(self) -> None:
+        """Yield nothing more until the body is marked as complete or cut."""
+        self._held = True
+        # What decides this comes after the body.
+        self._link.resume_reading()
+
     def end(self) -> None:
         """Mark the body as complete."""
         self.done = True
+        self._held = False
         self._changed.set()
 
     def fail(self, error: str) -> None:
@@ -118,17 +126,19 @@
         Raises
         ------
         BodyCutError
-            If the body is cut; the parts received before are yielded first.
+            If the body is cut.  Buffered parts are not yielded then: the last one would make a
+            body with a length look complete.
         """
         while True:
-            while self._parts:
+            if self.error:
+                raise BodyCutError(self.error)
+            if self._parts and not self._held:
                 part = self._parts.popleft()
                 self._buffered_bytes -= len(part)
                 if self._buffered_bytes <= MAX_BUFFERED_BODY_BYTES:
                     self._link.resume_reading()
                 yield part
-            if self.error:
-                raise BodyCutError(self.error)
+                continue
             if self.done:
                 return
             self._changed.clear()
--- a/dunlinnotch/transport/stream/link_pool.py
+++ b/dunlinnotch/transport/stream/link_pool.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from dunlinnotch.state.heads import AnswerHead
     from dunlinnotch.types import Address, Seconds
 
 #: Timeout for opening a connection, in seconds.
@@ -46,6 +47,8 @@
         Called with the time since which a connection to the address could not be opened.
     on_surplus : callable, optional
         Called when an answer arrives that belongs to no send that waits.
+    named_send : callable, optional
+        Of each :class:`~.target_link.TargetLink`.
 
     Attributes
     ----------
@@ -63,7 +66,9 @@
         on_heard: Callable[[], None] = lambda: None,
         on_unreached: Callable[[Seconds], None] = lambda since: None,
         on_surplus: Callable[[], None] = lambda: None,
+        named_send: Callable[[AnswerHead], str | None] | None = None,
     ) -> None:
+        self._named_send = named_send
         self.address = address
         self.max_links = max_links
         self._on_heard = on_heard
@@ -151,7 +156,12 @@
             self._close_link(self._idle.pop(0))
         if len(self.open_links) >= self.max_links:
             return NotSent(Reason.CONNECT_FAILED, f"all {self.max_links} connections are in use")
-        link = TargetLink(self.address, on_data=self._on_heard, on_surplus=self._record_surplus)
+        link = TargetLink(
+            self.address,
+            on_data=self._on_heard,
+            on_surplus=self._record_surplus,
+            named_send=self._named_send,
+        )
         self.open_links.add(link)
         began = self._loop.time()
         try:
--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -12,8 +12,12 @@
 from dunlinnotch.protocol.attempt import BodyCutError
 from dunlinnotch.protocol.relay import SendPosition
 from dunlinnotch.state.heads import AnswerHead, Header
-from dunlinnotch.transport.embedded_answers import EmbeddedAnswerFinder, check_head
-from dunlinnotch.transport.sends import Sends
+from dunlinnotch.transport.embedded_answers import (
+    EmbeddedAnswerError,
+    EmbeddedAnswerFinder,
+    check_head,
+)
+from dunlinnotch.transport.sends import UNNAMED, Sends
 from dunlinnotch.transport.stream.answer_limits import (
     COUNTED_PART_BYTES,
     MAX_DROPPED_BODY_BYTES,
@@ -58,8 +62,10 @@
         Length of the body in bytes; ``None`` if the head does not give it.
     ends_at_close : bool
         Whether only the end of the connection marks the end of the body.
-    more_may_follow : bool
-        Whether the bytes after a body must be those of another answer.
+    is_last : bool
+        Whether the target closes the connection after it.
+    has_body : bool
+        Whether any byte of a body was received.
     """
 
     def __init__(self, link: TargetLink) -> None:
@@ -69,7 +75,8 @@
         self.headers: list[Header] = []
         self.length: int | None = None
         self.ends_at_close = False
-        self.more_may_follow = False
+        self.is_last = False
+        self.has_body = False
         self._body = BodyQueue(link)
 
     @property
@@ -84,6 +91,7 @@
 
     def feed(self, part: bytes) -> None:
         """Add a received part of the body."""
+        self.has_body = True
         self._body.put(part)
 
     def end(self, error: str = "") -> None:
@@ -93,6 +101,10 @@
         else:
             self._body.end()
 
+    def hold(self) -> None:
+        """Hold the body back until :meth:`end`, as it may not be the target's."""
+        self._body.hold()
+
     def parts(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body.
 
@@ -130,6 +142,10 @@
         Called whenever bytes arrive.
     on_surplus : callable, optional
         Called when an answer arrives that belongs to no send that waits.
+    named_send : callable, optional
+        Given the head of an answer, returns what it names, see
+        :meth:`~.relay.TargetDialect.named_send`.  Without it, the content of bodies has to show
+        whether they are whole.
 
     Attributes
     ----------
@@ -156,10 +172,12 @@
         *,
         on_data: Callable[[], None] = lambda: None,
         on_surplus: Callable[[], None] = lambda: None,
+        named_send: Callable[[AnswerHead], str | None] | None = None,
     ) -> None:
         super().__init__()
         self.address = address
         self.sends = Sends()
+        self._named_send = named_send
         self._on_data = on_data
         self._on_surplus = on_surplus
         self.not_reusable = False
@@ -171,10 +189,14 @@
         self._max_idle = MAX_IDLE_S
         self._idle_since: Seconds = 0.0
         self._parser = httptools.HttpResponseParser(self)
+        # Bytes that follow an answer show whether its body is whole, also if none should.
+        self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._limits = AnswerLimits()
         self._in_trailers = False
         self._receiving: IncomingAnswer | None = None
         self._completed: IncomingAnswer | None = None
+        self._unproven: IncomingAnswer | None = None
+        self._request_sent = True
         self._finder: EmbeddedAnswerFinder | None = None
         self._answers: deque[IncomingAnswer] = deque()
         self._changed = asyncio.Event()
@@ -188,13 +210,25 @@
         self.flow_control.resume()
 
     def eof_received(self) -> bool:
-        """Complete an answer whose end is marked by the end of the connection only."""
-        if self._receiving is not None and self._receiving.ends_at_close:
+        """Complete an answer that only the end of the connection proves to be whole."""
+        if self._unproven is not None:
+            self._unproven.end()
+            self._unproven = None
+        elif self._receiving is not None and self._receiving.ends_at_close:
+            try:
+                self._finish_body()
+            except EmbeddedAnswerError as error:
+                self._end(str(error))
+                return False
             self._receiving.end()
             self._receiving = None
             self.is_mid_answer = False
         return False
 
+    def _finish_body(self) -> None:
+        if self._finder is not None:
+            self._finder.finish()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close an idle connection on which bytes arrive."""
         if self.closed:
@@ -236,6 +270,13 @@
         if self._completed is not None:
             self._completed.end(error)
 
+    def _confirm_completed(self) -> None:
+        """Confirm the end of the answer just completed, as another one begins there."""
+        self._completed = None
+        if self._unproven is not None:
+            self._unproven.end()
+            self._unproven = None
+
     def _break(self, reason: str) -> None:
         self._end(reason)
         self.abort()
@@ -243,9 +284,10 @@
     def _end(self, reason: str) -> None:
         self._error = self._error or reason
         self.closed = True
-        if self._receiving is not None:
-            self._receiving.end(self._error)
-            self._receiving = None
+        for incoming in (self._receiving, self._unproven):
+            if incoming is not None:
+                incoming.end(self._error)
+        self._receiving = self._unproven = None
         self._changed.set()
 
     # Called by the parser
@@ -258,7 +300,7 @@
 
     def on_status(self, status: bytes) -> None:
         """Add a part of the reason phrase."""
-        self._completed = None
+        self._confirm_completed()
         self._parsing.phrase += status.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -272,7 +314,7 @@
 
     def on_headers_complete(self) -> None:
         """Pass the answer to :meth:`next_answer`, unless it is an interim one (1xx)."""
-        self._completed = None
+        self._confirm_completed()
         self._in_trailers = True
         incoming = self._parsing
         check_head(incoming.phrase.encode("latin-1"))
@@ -285,11 +327,11 @@
         chunked = find_header(incoming.headers, "transfer-encoding") is not None
         incoming.length = None if chunked or length is None else int(length)
         bodiless = incoming.status in (204, 304)
-        incoming.more_may_follow = not bodiless and self._parser.should_keep_alive()
         incoming.ends_at_close = not chunked and length is None and not bodiless
-        self._finder = (
-            EmbeddedAnswerFinder(self.sends.has_carried) if incoming.ends_at_close else None
-        )
+        self._finder = None
+        if self._named_send is not None:
+            is_framed = not incoming.ends_at_close
+            self._finder = EmbeddedAnswerFinder(self._names_send, is_framed=is_framed)
         self._read_keep_alive(incoming)
         self._answers.append(incoming)
         self._receiving = incoming
@@ -300,8 +342,8 @@
         self._changed.set()
 
     def _read_keep_alive(self, incoming: IncomingAnswer) -> None:
-        if incoming.ends_at_close or not self._parser.should_keep_alive():
-            self.not_reusable = True
+        incoming.is_last = incoming.ends_at_close or not self._parser.should_keep_alive()
+        self.not_reusable |= incoming.is_last
         keep_alive = find_header(incoming.headers, "keep-alive") or ""
         for token in keep_alive.split(","):
             name, _, value = token.strip().partition("=")
@@ -317,13 +359,40 @@
             self._limits.note_progress()
 
     def on_message_complete(self) -> None:
-        """Mark the answer as completely received."""
+        """Mark the answer as completely received, unless its body proves nothing by itself."""
         self.is_mid_answer = False
-        if self._receiving is not None:
-            self._receiving.end()
-            self._completed = self._receiving if self._receiving.more_may_follow else None
-            self._receiving = None
-            self._limits.note_progress()
+        if self._receiving is None:
+            return
+        self._finish_body()
+        completed, self._receiving = self._receiving, None
+        self._limits.note_progress()
+        self._completed = completed if completed.has_body else None
+        if self._finder is not None and self._finder.is_doubtful:
+            completed.hold()
+            self._unproven = completed
+            self.not_reusable = True
+            self._await_end()
+        else:
+            completed.end()
+
+    def _await_end(self) -> None:
+        """Have the target close the connection; what comes before shows whether a body is whole.
+
+        Notes
+        -----
+        Nothing follows an answer that is whole.  An answer that was cut and then completed by
+        the begin of another is followed by the rest of that one.
+        """
+        if self._unproven is None or self._unproven.is_last or not self._request_sent:
+            return
+        if self._transport is not None:
+            self._transport.write_eof()
+
+    def _names_send(self, head: AnswerHead) -> bool:
+        """Return whether an answer with the head belongs to a send on the connection."""
+        assert self._named_send is not None
+        named = self._named_send(head)
+        return named not in (None, UNNAMED) and self.sends.has_carried(named)
 
     # Called by the client and the pool
 
@@ -342,11 +411,24 @@
             await self._changed.wait()
         return self._answers.popleft()
 
-    def begin_send(self, key: str) -> None:
-        """Record that a request or health check is sent, whose answer names ``key``."""
+    def begin_send(self, key: str, *, complete: bool = True) -> None:
+        """Record that a request or health check is sent, whose answer names ``key``.
+
+        Parameters
+        ----------
+        key : str
+        complete : bool, default True
+            Whether all of it is written at once; else :meth:`finish_send` tells its end.
+        """
         self.sends.begin(key)
+        self._request_sent = complete
         self.position = SendPosition(self.position.connection, self.position.position + 1)
 
+    def finish_send(self) -> None:
+        """Record that the body of the request has been written to its end."""
+        self._request_sent = True
+        self._await_end()
+
     def record_surplus(self) -> None:
         """Record an answer that belongs to no send that waits; the next may follow it."""
         self.not_reusable = True
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -29,12 +29,15 @@
     connection : int
         Number of the connection, from 0.
     writer : asyncio.StreamWriter
+    body_read : asyncio.Event
+        Set once the body has been received.
     """
 
     request_id: str
     path: str
     connection: int
     writer: asyncio.StreamWriter
+    body_read: asyncio.Event = field(default_factory=asyncio.Event)
 
     def send(self, data: bytes) -> None:
         """Write bytes on the connection of this request."""
@@ -72,11 +75,17 @@
     ----------
     holds_probes : bool, default False
         Whether health checks are left to the test as well; else they are answered at once.
+    closes_at_end : bool, default True
+        Whether a connection is closed as soon as the box has closed its side.
+    answers_early : bool, default False
+        Whether a request is left to the test before its body has been read.
     """
 
     holds_probes: bool = False
     address: str = ""
     received: asyncio.Queue[Received] = field(default_factory=asyncio.Queue)
+    closes_at_end: bool = True
+    answers_early: bool = False
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
     probes: list[Received] = field(default_factory=list)
 
@@ -90,9 +99,15 @@
         self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                received = await _read_request(reader, writer, connection)
-                self._take(received)
-        writer.close()
+                received, length = await _read_head(reader, writer, connection)
+                if self.answers_early:
+                    self._take(received)
+                await reader.readexactly(length)
+                received.body_read.set()
+                if not self.answers_early:
+                    self._take(received)
+        if self.closes_at_end:
+            writer.close()
 
     def close(self) -> None:
         """Close all connections."""
@@ -108,15 +123,16 @@
             received.send(received.health())
 
 
-async def _read_request(
+async def _read_head(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: int
-) -> Received:
+) -> tuple[Received, int]:
+    """Return a request and the length of its body, which is still to be read."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     first, *lines = head.strip().split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in lines)
-    await reader.readexactly(int(headers.get("content-length", "0")))
     request_id = headers.get("attempt-id", "")
-    return Received(request_id, first.split()[1], connection, writer)
+    received = Received(request_id, first.split()[1], connection, writer)
+    return received, int(headers.get("content-length", "0"))
 
 
 def row(address: str, service: str) -> dict[str, object]:
