A copy of a probe's answer doesn't become part of a body

Cause: the search in bodies looked for a header that holds the key of a send. Answers to probes name nothing, so no header holds their key, though the account of the connection knows that a probe was sent on it.

Evidence: 10 of the 10 tests with "probes" in their names fail on: copies of good and refused probes, whole or cut, after a body without a length, and one that fills a gap exactly.

Why this works: what a head in a body names is told by the function that tells it of an answer's own head, and asked of the same account.

--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -17,7 +17,7 @@
     EmbeddedAnswerFinder,
     check_head,
 )
-from dunlinnotch.transport.sends import UNNAMED, Sends
+from dunlinnotch.transport.sends import Sends
 from dunlinnotch.transport.stream.answer_limits import (
     COUNTED_PART_BYTES,
     MAX_DROPPED_BODY_BYTES,
@@ -392,7 +392,7 @@
         """Return whether an answer with the head belongs to a send on the connection."""
         assert self._named_send is not None
         named = self._named_send(head)
-        return named not in (None, UNNAMED) and self.sends.has_carried(named)
+        return named is not None and self.sends.has_carried(named)
 
     # Called by the client and the pool
 
--- a/tests/test_gaps_filled_by_answers.py
+++ b/tests/test_gaps_filled_by_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.scripted_target import scripted_target
+from tests.scripted_target import Received, scripted_target
 from tests.stream_world import TIMEOUT_S, call, connect, head, read_answer, stream_world, until
 
 CLOSE = b"Connection: close\r\n"
@@ -48,7 +48,9 @@
             async with stream_world(workers=0) as world, scripted_target(world) as target:
                 target.closes_at_end = closes_at_end
                 for number in range(calls):
-                    caller = asyncio.create_task(answer_of(world.boxes[0], request_id=f"{number}"))
+                    caller = asyncio.create_task(
+                        answer_of(world.boxes[0], request_id=f"r-{number}")
+                    )
                     await script(await target.next_request())
                     results.append(await caller)
         return results
@@ -170,3 +172,25 @@
                 writer.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("status", [b"200 -", b"503 -"])
+@pytest.mark.parametrize("ends_at", [None, -1, -3, 30])
+def test_copy_of_a_probes_answer_ends_a_body_without_a_length(status, ends_at):
+    async def script(received):
+        probe = Received("", "/health", 0, received.writer).health()
+        probe = probe.replace(b"200 -", status)[:ends_at]
+        received.send(answer(received).replace(b"Content-Length", b"X") + probe)
+        received.writer.close()
+
+    assert play(script) == [(502, b"")]
+
+
+@pytest.mark.parametrize("extra", [CLOSE, b""])
+def test_copy_of_a_probes_answer_fills_a_gap_exactly(extra):
+    async def script(received):
+        probe = Received("", "/health", 0, received.writer).health()
+        received.send(answer(received, extra=extra)[: -len(probe)] + probe)
+        received.writer.close()
+
+    assert play(script) == [(502, b"")]
