An early answer without a length isn't whole while its request is being sent

Callers saw a part of an answer as a complete 200: the target had answered a long upload at once, without a length, and closed its connection.

Cause: the end of the connection ended the body, whatever the state of the request. A target that has read what came so far ends without a reset.

Why this works: the box knows whether all bytes of the request were written. If not, the target can't have answered it, and the end of its connection shows nothing else.

--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -215,16 +215,28 @@
             self._unproven.end()
             self._unproven = None
         elif self._receiving is not None and self._receiving.ends_at_close:
-            try:
-                self._finish_body()
-            except EmbeddedAnswerError as error:
-                self._end(str(error))
-                return False
-            self._receiving.end()
-            self._receiving = None
-            self.is_mid_answer = False
+            self._complete_at_close(self._receiving)
         return False
 
+    def _complete_at_close(self, incoming: IncomingAnswer) -> None:
+        """Complete an answer without a length, unless something shows that it was cut."""
+        if not self._request_sent or self._unwritten_bytes:
+            # Whether the target went on or broke off can't be seen from its end alone.
+            self._end("the target closed its connection before the whole request was sent")
+            return
+        try:
+            self._finish_body()
+        except EmbeddedAnswerError as error:
+            self._end(str(error))
+            return
+        incoming.end()
+        self._receiving = None
+        self.is_mid_answer = False
+
+    @property
+    def _unwritten_bytes(self) -> int:
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def _finish_body(self) -> None:
         if self._finder is not None:
             self._finder.finish()
--- a/tests/scripted_target.py
+++ b/tests/scripted_target.py
@@ -16,6 +16,8 @@
 #: Requests running and waiting, slots, and how long work takes, in percent of the usual time.
 IDLE_LOAD = "0,0,6,100"
 
+PART_BYTES = 1000
+
 
 @dataclass(eq=False)
 class Received:
@@ -29,6 +31,8 @@
     connection : int
         Number of the connection, from 0.
     writer : asyncio.StreamWriter
+    body_bytes : int
+        Size of the received part of its body.
     body_read : asyncio.Event
         Set once the body has been received.
     """
@@ -37,6 +41,7 @@
     path: str
     connection: int
     writer: asyncio.StreamWriter
+    body_bytes: int = 0
     body_read: asyncio.Event = field(default_factory=asyncio.Event)
 
     def send(self, data: bytes) -> None:
@@ -99,11 +104,10 @@
         self.writers.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                received, length = await _read_head(reader, writer, connection)
+                received, length, chunked = await _read_head(reader, writer, connection)
                 if self.answers_early:
                     self._take(received)
-                await reader.readexactly(length)
-                received.body_read.set()
+                await _read_body(received, reader, length, chunked=chunked)
                 if not self.answers_early:
                     self._take(received)
         if self.closes_at_end:
@@ -125,14 +129,28 @@
 
 async def _read_head(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: int
-) -> tuple[Received, int]:
-    """Return a request and the length of its body, which is still to be read."""
+) -> tuple[Received, int, bool]:
+    """Return a request, the length of its body, still to be read, and whether it is chunked."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     first, *lines = head.strip().split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in lines)
     request_id = headers.get("attempt-id", "")
     received = Received(request_id, first.split()[1], connection, writer)
-    return received, int(headers.get("content-length", "0"))
+    return received, int(headers.get("content-length", "0")), "transfer-encoding" in headers
+
+
+async def _read_body(
+    received: Received, reader: asyncio.StreamReader, length: int, *, chunked: bool
+) -> None:
+    while chunked and (size := int(await reader.readuntil(b"\r\n"), 16)):
+        await reader.readexactly(size + 2)
+        received.body_bytes += size
+    if chunked:
+        await reader.readuntil(b"\r\n")
+    while received.body_bytes < length:
+        part = await reader.readexactly(min(length - received.body_bytes, PART_BYTES))
+        received.body_bytes += len(part)
+    received.body_read.set()
 
 
 def row(address: str, service: str) -> dict[str, object]:
