An answer with a status outside 100 to 599 is broken at once

Callers whose target answered 000 or 099 got 504 at their route's timeout, also for requests that may be repeated; 999 was passed on to them.

Cause: any status below 200 counted as that of an interim answer, and any from 500 on as a failure of the target's.

Why this works: the status is checked once the head is complete, before it decides anything, on every connection that receives answers.

--- a/dunlinnotch/protocol/http.py
+++ b/dunlinnotch/protocol/http.py
@@ -105,6 +105,11 @@
 _MAX_BACKOFF_S = 3600.0
 
 
+def is_status(status: int) -> bool:
+    """Return whether a number is a status of HTTP."""
+    return 100 <= status <= 599
+
+
 def end_to_end(headers: Iterable[Header], reserved: frozenset[str]) -> tuple[Header, ...]:
     """Return the headers that are passed on by a box.
 
@@ -164,5 +169,6 @@
     "Reason",
     "end_to_end",
     "refusal_headers",
+    "is_status",
     "requested_backoff",
 ]
--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -10,6 +10,7 @@
 import httptools
 
 from dunlinnotch.protocol.attempt import BodyCutError
+from dunlinnotch.protocol.http import is_status
 from dunlinnotch.protocol.relay import SendPosition
 from dunlinnotch.state.heads import AnswerHead, Header
 from dunlinnotch.transport.embedded_answers import (
@@ -331,6 +332,9 @@
         incoming = self._parsing
         check_head(incoming.phrase.encode("latin-1"))
         incoming.status = self._parser.get_status_code()
+        if not is_status(incoming.status):
+            msg = f"status {incoming.status:03} invalid: expected 100 to 599"
+            raise LinkBrokenError(msg)
         if incoming.status < 200:
             self._receiving = None
             return
--- a/dunlinnotch/transport/targets.py
+++ b/dunlinnotch/transport/targets.py
@@ -255,6 +255,10 @@
         *,
         request_complete: bool,
     ) -> AttemptResult:
+        if not http.is_status(response.status):
+            return Broken(
+                Reason.TARGET_BROKEN, f"status {response.status} invalid: expected 100 to 599"
+            )
         if not _has_body_framing(call, response):
             return Broken(
                 Reason.TARGET_BROKEN,
