Bytes of one target without end leave the other connections their turn

What callers saw: one target of seven sends bytes without end in a body, and requests at other targets are late or refused, as the boxes that read it stand still.

Cause: three costs without a bound for one connection. The search for heads in a body without a length looked at up to 16 KiB again for each status line; each chunk, however small, was passed on alone, with a write for each; a connection was read 256 KiB at a time before the others had their turn.

What is received at once is passed on at once, and is at most 32 KiB.

--- a/dunlinnotch/transport/stream/link.py
+++ b/dunlinnotch/transport/stream/link.py
@@ -16,7 +16,13 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 
 
-class StreamLink(asyncio.Protocol):
+#: Maximum number of bytes read from a connection before the others have their turn.
+_READ_BYTES = 32 * 1024
+#: Shared by all connections: each read is parsed before the next.
+_read_buffer = memoryview(bytearray(_READ_BYTES))
+
+
+class StreamLink(asyncio.BufferedProtocol):
     """One connection; a subclass parses the received bytes.
 
     Attributes
@@ -38,6 +44,18 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on what was read."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes."""
+        raise NotImplementedError
+
     def pause_writing(self) -> None:
         """Make writers wait."""
         self.flow_control.pause()
--- a/dunlinnotch/transport/stream/target_link.py
+++ b/dunlinnotch/transport/stream/target_link.py
@@ -194,6 +194,7 @@
         self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._limits = AnswerLimits()
         self._in_trailers = False
+        self._body_parts: list[bytes] = []
         self._receiving: IncomingAnswer | None = None
         self._completed: IncomingAnswer | None = None
         self._unproven: IncomingAnswer | None = None
@@ -263,8 +264,9 @@
     def _parse(self, part: bytes | memoryview) -> None:
         try:
             self._parser.feed_data(part)
+            self._feed_body()
             self._limits.count_part(len(part))
-        except LimitExceededError as error:
+        except (LimitExceededError, EmbeddedAnswerError) as error:
             self._break(str(error))
         except httptools.HttpParserCallbackError as error:
             self._break(str(error.__context__ or error))
@@ -368,15 +370,25 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body to its answer."""
-        if self._receiving is not None:
-            if self._finder is not None:
-                self._finder.check(body)
-            self._receiving.feed(body)
-            self._limits.note_progress()
+        self._body_parts.append(body)
+
+    def _feed_body(self) -> None:
+        """Pass on what was received of the body at once, however small its chunks are."""
+        if not self._body_parts:
+            return
+        body = b"".join(self._body_parts)
+        self._body_parts.clear()
+        if self._receiving is None:
+            return
+        if self._finder is not None:
+            self._finder.check(body)
+        self._receiving.feed(body)
+        self._limits.note_progress()
 
     def on_message_complete(self) -> None:
         """Mark the answer as completely received, unless its body proves nothing by itself."""
         self.is_mid_answer = False
+        self._feed_body()
         if self._receiving is None:
             return
         self._finish_body()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -11,6 +11,7 @@
 from dunlinnotch.errors import PlatformUnavailableError
 from dunlinnotch.platform.dialect import WorkerDialect
 from dunlinnotch.standins.users.worker import WorkerStandin
+from dunlinnotch.transport.embedded_answers import EmbeddedAnswerFinder
 from dunlinnotch.transport.stream import fetch, link
 from dunlinnotch.transport.stream.client import TargetClient
 from dunlinnotch.transport.stream.fetch import Fetcher
@@ -39,6 +40,8 @@
 }
 #: More than a target may send that is no body.
 MAX_SENT_BYTES = 512 * 1024
+#: More than is read from one connection at once.
+MAX_TURN_BYTES = 64 * 1024
 MAX_HELD_BYTES = 256 * 1024
 
 
@@ -89,6 +92,35 @@
     asyncio.run(test())
 
 
+def test_chunks_of_one_byte_are_each_passed_on_alone():
+    async def test():
+        target_link = TargetLink("target:1")
+        target_link.data_received(CHUNKED + b"\r\n" + b"1\r\nx\r\n" * 10_000)
+        incoming = await target_link.next_answer()
+        async for part in incoming.parts():
+            assert part == b"x" * 10_000
+            break
+
+    asyncio.run(test())
+
+
+def test_one_connection_is_read_without_a_turn_for_the_others():
+    async def test():
+        assert len(TargetLink("target:1").get_buffer(-1)) <= MAX_TURN_BYTES
+
+    asyncio.run(test())
+
+
+def test_each_head_in_a_body_is_searched_for_up_to_its_end():
+    heads = []
+    finder = EmbeddedAnswerFinder(heads.append, is_framed=True)
+    for _ in range(100):
+        finder.check(b"HTTP/1.1 500\r\n\r\n" * 1000)
+        finder.check(b"HTTP/1.1 500 -\r\n" + b"A: 1\r\n" * 10_000)
+    assert len(heads) < 100
+    assert sum(len(head.headers) for head in heads) < 100_000
+
+
 class EndlessTarget:
     """A target whose answers to requests begin as given and then never end.
 
@@ -155,6 +187,7 @@
 
 
 OK_CHUNKED = b"HTTP/1.1 200 OK\r\nAttempt-Id: <id>\r\nResponse-Seal: s\r\n" + CHUNKED[17:] + b"\r\n"
+OK_UNFRAMED = b"HTTP/1.1 200 OK\r\nAttempt-Id: <id>\r\nResponse-Seal: s\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 No\r\nAttempt-Id: <id>\r\nNot-Executed: 1\r\n"
 UNRELATED = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
 THROUGH_A_BOX = {
@@ -165,6 +198,9 @@
     "refusal-without-length": (REFUSAL + b"\r\n", b"x"),
     "unrelated": (UNRELATED + CHUNKED[17:] + b"\r\n", b"5\r\nhello\r\n"),
     "unrelated-without-length": (UNRELATED + b"\r\n", b"x"),
+    "heads-in-a-body": (OK_UNFRAMED, b"HTTP/1.1 500\r\n\r\n"),
+    "heads-with-headers-in-a-body": (OK_UNFRAMED, b"HTTP/1.1 500 -\r\nA: 1\r\n\r\n"),
+    "heads-of-probes-in-a-body": (OK_UNFRAMED, b"HTTP/1.1 200 -\r\nInstance-Id: i\r\n\r\n"),
 }
 
 
@@ -224,10 +260,11 @@
     asyncio.run(test())
 
 
-def test_answer_without_end_to_a_probe_is_cut():
+@pytest.mark.parametrize("repeated", [b"x", b"HTTP/1.1 500\r\n\r\n", b"HTTP/1.1 500 -\r\nA: 1\r\n"])
+def test_answer_without_end_to_a_probe_is_cut(repeated):
     async def test():
         begin = b"HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\n\r\n"
-        target = EndlessTarget(begin, b"x", probes_too=True)
+        target = EndlessTarget(begin, repeated, probes_too=True)
         await target.start()
         client = TargetClient(WorkerDialect())
         async with asyncio.timeout(TIMEOUT_S):
