Lab: targets that go on with another answer after a cut one

The fault answer-filled, for the lab and its soak, and two faults of the stand-in worker, used by the tests of entry boxes and of requests over peers.

--- a/dunlinnotch/lab/faults.py
+++ b/dunlinnotch/lab/faults.py
@@ -90,6 +90,7 @@
             FaultKind.TARGET_RESET: self._break_target_links,
             FaultKind.ANSWER_LOST: self._corrupt_answers,
             FaultKind.ANSWER_CUT: self._corrupt_answers,
+            FaultKind.ANSWER_FILLED: self._corrupt_answers,
             FaultKind.ANSWER_TWICE: self._corrupt_answers,
             FaultKind.DUPLICATE_ANSWERS: self._duplicate_answers,
             FaultKind.HEALTH_LIES: self._fail_health_checks,
@@ -174,6 +175,7 @@
         fault = {
             FaultKind.ANSWER_LOST: WorkerFault.LOST,
             FaultKind.ANSWER_CUT: WorkerFault.CUT,
+            FaultKind.ANSWER_FILLED: WorkerFault.FILLED_LAST,
             FaultKind.ANSWER_TWICE: WorkerFault.LATE_SURPLUS,
         }[plan.kind]
 
--- a/dunlinnotch/lab/generate.py
+++ b/dunlinnotch/lab/generate.py
@@ -30,6 +30,7 @@
     FaultKind.TARGET_SLOW: _Ranges(x=(3.0, 12.0)),
     FaultKind.ANSWER_LOST: _Ranges(x=(0.02, 0.3)),
     FaultKind.ANSWER_CUT: _Ranges(x=(0.02, 0.3)),
+    FaultKind.ANSWER_FILLED: _Ranges(x=(0.02, 0.3)),
     FaultKind.ANSWER_TWICE: _Ranges(x=(0.02, 0.3)),
     FaultKind.DUPLICATE_ANSWERS: _Ranges((1.0, 4.0), (5.0, 9.0), (0.5, 1.0), (0.2, 1.0)),
     FaultKind.TARGET_REFUSES: _Ranges(x=(0.2, 1.0)),
--- a/dunlinnotch/lab/scenario.py
+++ b/dunlinnotch/lab/scenario.py
@@ -38,6 +38,9 @@
     ANSWER_LOST = "answer-lost"
     #: Targets truncate a share ``x`` of their answers.
     ANSWER_CUT = "answer-cut"
+    #: Targets truncate a share ``x`` of their answers, which they send once more before they
+    #: close the connection.
+    ANSWER_FILLED = "answer-filled"
     #: Targets send a share ``x`` of their answers twice.
     ANSWER_TWICE = "answer-twice"
     #: Targets send a share ``x`` of all their answers a second time, some ms to some hundred ms
--- a/dunlinnotch/standins/users/worker.py
+++ b/dunlinnotch/standins/users/worker.py
@@ -32,6 +32,10 @@
     LOST = "lost"
     #: Closes the connection before the end of the body.
     CUT = "cut"
+    #: Breaks an answer off and goes on with the same answer from its start.
+    FILLED = "filled"
+    #: Does so with an answer after which the connection closes.
+    FILLED_LAST = "filled-last"
     #: Sends bytes that are not HTTP.
     NOISE = "noise"
     #: Sends the answer twice in one write.
@@ -453,6 +457,11 @@
             asyncio.get_running_loop().call_later(0.01, exchange.write_raw, answer)
         elif fault is WorkerFault.CUT:
             exchange.write_raw(answer[:-3])
+        elif fault is WorkerFault.FILLED:
+            exchange.write_raw(answer[: -len(body) // 2] + answer)
+        elif fault is WorkerFault.FILLED_LAST:
+            answer = answer_head(200, "", headers, length=len(body), close=True) + body
+            exchange.write_raw(answer[: -len(body) // 2] + answer)
         elif fault is WorkerFault.NOISE:
             exchange.write_raw(b"\x00\xff no answer at all\r\n\r\n")
         else:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -55,8 +55,10 @@
 from dunlinnotch.state.targets import TargetRecord
 from dunlinnotch.state.tree import SettingsTree
 from dunlinnotch.transport.connection_pools import ConnectionPools
+from dunlinnotch.transport.embedded_answers import EmbeddedAnswerFinder
 from dunlinnotch.transport.sends import SendOwner, Sends
 from dunlinnotch.transport.stream.link_pool import LinkPool
+from dunlinnotch.transport.stream.target_link import IncomingAnswer, TargetLink
 from tests.box_with_full_budgets import begin_full
 from tests.matrix import list_cells, run_cell
 
@@ -187,6 +189,17 @@
     return not run.reply.begun and run.sends < 3
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing."""
+
+
+def _complete_any(self: TargetLink, incoming: IncomingAnswer) -> None:
+    """Complete an answer without a length at any end of its connection."""
+    incoming.end()
+    self._receiving = None
+    self.is_mid_answer = False
+
+
 def _own_any_answer(self, named):
     return SendOwner.CURRENT
 
@@ -395,6 +408,8 @@
     "tests/test_lab.py::test_a_scenario_with_a_past_violation_has_none[boxes-cut-off-from-targets]"
 )
 CUT_OFF = "tests/test_cut_off_box.py"
+GAPS = "tests/test_gaps_filled_by_answers.py"
+EARLY = "tests/test_early_answers.py"
 DUPLICATES = "tests/test_duplicate_answers.py"
 DUPLICATES_OF_OTHERS = "tests/test_duplicate_answers_of_others.py"
 CRASHING, CRASH_GOSSIP = "tests/test_crashing.py", "tests/test_crash_gossip.py"
@@ -406,6 +421,24 @@
         "retry a request that may run only once", Forwarder, "_may_retry", _retry_any_request, ENTRY
     ),
     Mutant("accept an answer to another request", Sends, "owner", _own_any_answer, DUPLICATES),
+    Mutant(
+        "take any body of the right length for whole",
+        EmbeddedAnswerFinder,
+        "is_doubtful",
+        False,
+        GAPS,
+    ),
+    Mutant(
+        "pass on a body that holds an answer", EmbeddedAnswerFinder, "_check_head", _ignore, GAPS
+    ),
+    Mutant("ignore what follows a body", TargetLink, "_doubt_completed", _ignore, GAPS),
+    Mutant(
+        "complete an answer while its request is sent",
+        TargetLink,
+        "_complete_at_close",
+        _complete_any,
+        EARLY,
+    ),
     Mutant(
         "take a refused probe for the refusal of a request",
         Sends,
--- a/tests/test_cut_off_box.py
+++ b/tests/test_cut_off_box.py
@@ -151,7 +151,10 @@
     with_cut_off_box(test)
 
 
-@pytest.mark.parametrize("fault", [WorkerFault.LOST, WorkerFault.CUT, WorkerFault.BARE_503])
+@pytest.mark.parametrize(
+    "fault",
+    [WorkerFault.LOST, WorkerFault.CUT, WorkerFault.FILLED_LAST, WorkerFault.BARE_503],
+)
 def test_request_that_must_not_be_repeated_runs_once_over_a_peer(fault):
     async def test(world, paths, box):
         for worker in world.workers:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -86,6 +86,8 @@
     [
         WorkerFault.LOST,
         WorkerFault.CUT,
+        WorkerFault.FILLED,
+        WorkerFault.FILLED_LAST,
         WorkerFault.NOISE,
         WorkerFault.ERROR,
         WorkerFault.BARE_503,
